Spell the object API's calls behind a form, so that one client serves every store

Cause: the client knew one spelling of paths, bodies and conflicts; the users' platform spells the same calls otherwise and lists in pages. Ruled out: a second client, as budget, time limits and typed errors would stand twice. Change: the trait Form with today's spelling as Native; a typed error for history that is gone; keep-alive probes and a user timeout on connections. Conclusion: the adapter only has to bring a form.

--- a/crates/catkinusher-platform/src/error/mod.rs
+++ b/crates/catkinusher-platform/src/error/mod.rs
@@ -36,6 +36,12 @@
     /// An answer came that is none of the protocol's: a write may have taken effect.
     #[error("bad answer: {0}")]
     Bad(Bad),
+    /// The changes after a version are not kept any more; only a new list helps.
+    #[error("the changes after {after} are gone")]
+    Compacted {
+        /// The version after which changes were asked for.
+        after: Version,
+    },
     /// The value cannot be sent; nothing was written.
     #[error("not sent: {0}")]
     Unsendable(Unsendable),
@@ -49,6 +55,7 @@
             Self::Conflict { .. }
             | Self::Throttled { .. }
             | Self::Outage(_)
+            | Self::Compacted { .. }
             | Self::Unsendable(_) => true,
             Self::Lost(_) | Self::Bad(_) => false,
         }
--- /dev/null
+++ b/crates/catkinusher-platform/src/form/native.rs
@@ -0,0 +1,134 @@
+//! The spelling of the object API that the project's own interface uses.
+
+use std::time::Duration;
+
+use http::{HeaderName, HeaderValue, Method, StatusCode, header};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use catkinusher_core::object::Version;
+use catkinusher_core::units;
+
+use super::{Condition, Form, Wire, escape};
+use crate::error::{Bad, Error, Result, Unsendable};
+use crate::store::{Listing, Object, VALUE_LIMIT, Watched};
+
+/// Paths under `/v1`, versions as entity tags.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Native;
+
+/// The answer to a write, and to one that conflicts.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct Written {
+    version: Version,
+}
+
+impl Form for Native {
+    const CONFLICT: StatusCode = StatusCode::PRECONDITION_FAILED;
+
+    fn get(&self, kind: &str, name: &str) -> Wire {
+        Wire::bare(Method::GET, object_path(kind, name))
+    }
+
+    fn list(&self, kind: &str, prefix: &str, _after: Option<&str>) -> Wire {
+        let path = format!("{}?prefix={}", kind_path(kind), escape(prefix));
+        Wire::bare(Method::GET, path)
+    }
+
+    fn watch(&self, kind: &str, after: Version, wait: Duration) -> Wire {
+        let path = format!(
+            "/v1/watch/{}?after={}&timeout_ms={}",
+            escape(kind),
+            after.get(),
+            wait.as_millis()
+        );
+        Wire::bare(Method::GET, path)
+    }
+
+    fn put<T>(&self, kind: &str, name: &str, value: &T, condition: Condition) -> Result<Wire>
+    where
+        T: Serialize,
+    {
+        let mut wire = Wire::bare(Method::PUT, object_path(kind, name));
+        wire.body = encode(value)?;
+        let json = HeaderValue::from_static("application/json");
+        wire.headers.insert(header::CONTENT_TYPE, json);
+        wire.headers.extend(condition_header(condition));
+        Ok(wire)
+    }
+
+    fn delete(&self, kind: &str, name: &str, condition: Condition) -> Wire {
+        let mut wire = Wire::bare(Method::DELETE, object_path(kind, name));
+        wire.headers.extend(condition_header(condition));
+        wire
+    }
+
+    fn object<T>(&self, body: &[u8]) -> Result<Object<T>>
+    where
+        T: DeserializeOwned,
+    {
+        decode(body)
+    }
+
+    fn listing<T>(&self, body: &[u8]) -> Result<(Listing<T>, Option<String>)>
+    where
+        T: DeserializeOwned,
+    {
+        // This API lists a kind whole.
+        decode(body).map(|listing| (listing, None))
+    }
+
+    fn watched<T>(&self, body: &[u8]) -> Result<Watched<T>>
+    where
+        T: DeserializeOwned,
+    {
+        decode(body)
+    }
+
+    fn version(&self, body: &[u8]) -> Result<Version> {
+        decode::<Written>(body).map(|written| written.version)
+    }
+}
+
+fn condition_header(condition: Condition) -> Option<(HeaderName, HeaderValue)> {
+    match condition {
+        Condition::Any => None,
+        Condition::Absent => Some((header::IF_NONE_MATCH, HeaderValue::from_static("*"))),
+        Condition::At(version) => Some((header::IF_MATCH, tag(version))),
+    }
+}
+
+/// A version as an entity tag.
+fn tag(version: Version) -> HeaderValue {
+    HeaderValue::try_from(format!("\"{}\"", version.get())).expect("digits make a header value")
+}
+
+fn kind_path(kind: &str) -> String {
+    format!("/v1/objects/{}", escape(kind))
+}
+
+fn object_path(kind: &str, name: &str) -> String {
+    format!("{}/{}", kind_path(kind), escape(name))
+}
+
+fn encode<T>(value: &T) -> Result<bytes::Bytes>
+where
+    T: Serialize,
+{
+    let body =
+        serde_json::to_vec(value).map_err(|fault| Error::Unsendable(Unsendable::Form(fault)))?;
+    if body.len() > VALUE_LIMIT {
+        return Err(Error::Unsendable(Unsendable::Size {
+            size: units::Bytes::new(body.len() as u64),
+            limit: units::Bytes::new(VALUE_LIMIT as u64),
+        }));
+    }
+    Ok(body.into())
+}
+
+fn decode<T>(body: &[u8]) -> Result<T>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|fault| Error::Bad(Bad::Body(fault)))
+}
--- a/crates/catkinusher-platform/src/lib.rs
+++ b/crates/catkinusher-platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! protocol stands in [docs/PROTOCOLS.md](../../../docs/PROTOCOLS.md).
 
 pub mod error;
+pub mod form;
 pub mod gate;
 pub mod store;
 pub mod vms;
--- a/crates/catkinusher-platform/src/store/mod.rs
+++ b/crates/catkinusher-platform/src/store/mod.rs
@@ -3,23 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use http::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use catkinusher_core::object::Version;
-use catkinusher_core::units;
 
-use crate::error::{Bad, Error, Result, Unsendable};
+use crate::error::{Bad, Error, Result};
+use crate::form::{Condition, Form, Native, Wire};
 use crate::gate::{Gate, Priority};
 use crate::transport::{Call, Reply, Transport};
 
 mod object;
 mod perform;
 
-use object::Written;
 pub use object::{Event, Listing, Object, Watched};
 
 /// The largest value that the platform holds, in bytes.
@@ -34,18 +31,12 @@
 /// The largest answer that holds a version only.
 const SHORT_LIMIT: usize = 64 * 1024;
 
-/// What is escaped in a name within a path or a query.
-const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
-    .remove(b'-')
-    .remove(b'.')
-    .remove(b'_')
-    .remove(b'~');
-
 /// A client of the object API; clones share connections and budget.
 #[derive(Debug, Clone)]
-pub struct Store {
+pub struct Store<F = Native> {
     transport: Transport,
     priority: Priority,
+    form: F,
 }
 
 impl Store {
@@ -58,6 +49,24 @@
     /// Panics if `addrs` is empty, as settings without an address are refused before.
     #[must_use]
     pub fn new<A>(addrs: A, timeout: Duration, gate: Gate) -> Self
+    where
+        A: IntoIterator<Item = SocketAddr>,
+    {
+        Self::spelled(Native, addrs, timeout, gate)
+    }
+}
+
+impl<F> Store<F>
+where
+    F: Form,
+{
+    /// A client for an object API that is spelled as `form` says.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `addrs` is empty, as settings without an address are refused before.
+    #[must_use]
+    pub fn spelled<A>(form: F, addrs: A, timeout: Duration, gate: Gate) -> Self
     where
         A: IntoIterator<Item = SocketAddr>,
     {
@@ -66,6 +75,7 @@
         Self {
             transport: Transport::new(addrs, timeout, gate),
             priority: Priority::Configuration,
+            form,
         }
     }
 
@@ -75,6 +85,7 @@
         Self {
             transport: self.transport.clone(),
             priority,
+            form: self.form.clone(),
         }
     }
 
@@ -87,10 +98,10 @@
     where
         T: DeserializeOwned,
     {
-        let call = call(Method::GET, object_path(kind, name), OBJECT_LIMIT);
+        let call = call(self.form.get(kind, name), OBJECT_LIMIT);
         let reply = self.send(call).await?;
         match reply.status {
-            StatusCode::OK => decode(&reply).map(Some),
+            StatusCode::OK => self.form.object(&reply.body).map(Some),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(unexpected(status)),
         }
@@ -98,6 +109,9 @@
 
     /// Reads all objects of a kind whose names begin with `prefix`.
     ///
+    /// The version is that of the first page, so that a watch after it misses
+    /// no change that later pages may or may not show.
+    ///
     /// # Errors
     ///
     /// Any of [`Error`] but a conflict.
@@ -105,10 +119,28 @@
     where
         T: DeserializeOwned,
     {
-        let path = format!("{}?prefix={}", kind_path(kind), escape(prefix));
-        let reply = self.send(call(Method::GET, path, LIST_LIMIT)).await?;
+        let (mut whole, mut more) = self.page(kind, prefix, None).await?;
+        while let Some(after) = more {
+            let (page, next) = self.page(kind, prefix, Some(&after)).await?;
+            whole.objects.extend(page.objects);
+            more = next;
+        }
+        Ok(whole)
+    }
+
+    async fn page<T>(
+        &self,
+        kind: &str,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<(Listing<T>, Option<String>)>
+    where
+        T: DeserializeOwned,
+    {
+        let call = call(self.form.list(kind, prefix, after), LIST_LIMIT);
+        let reply = self.send(call).await?;
         match reply.status {
-            StatusCode::OK => decode(&reply),
+            StatusCode::OK => self.form.listing(&reply.body),
             status => Err(unexpected(status)),
         }
     }
@@ -122,9 +154,7 @@
     where
         T: Serialize,
     {
-        let any = HeaderValue::from_static("*");
-        self.put(kind, name, value, Some((header::IF_NONE_MATCH, any)))
-            .await
+        self.put(kind, name, value, Condition::Absent).await
     }
 
     /// Writes an object over exactly version `over`, and gives its new version.
@@ -142,8 +172,7 @@
     where
         T: Serialize,
     {
-        self.put(kind, name, value, Some((header::IF_MATCH, tag(over))))
-            .await
+        self.put(kind, name, value, Condition::At(over)).await
     }
 
     /// Writes an object whatever stands there, and gives its new version.
@@ -155,7 +184,7 @@
     where
         T: Serialize,
     {
-        self.put(kind, name, value, None).await
+        self.put(kind, name, value, Condition::Any).await
     }
 
     /// Removes an object, if given only at version `over`, and tells whether it was there.
@@ -164,15 +193,13 @@
     ///
     /// A conflict if another version stands there; else any of [`Error`].
     pub async fn delete(&self, kind: &str, name: &str, over: Option<Version>) -> Result<bool> {
-        let mut call = call(Method::DELETE, object_path(kind, name), SHORT_LIMIT);
-        if let Some(over) = over {
-            call.headers.insert(header::IF_MATCH, tag(over));
-        }
+        let condition = over.map_or(Condition::Any, Condition::At);
+        let call = call(self.form.delete(kind, name, condition), SHORT_LIMIT);
         let reply = self.send(call).await?;
         match reply.status {
             StatusCode::OK => Ok(true),
             StatusCode::NOT_FOUND => Ok(false),
-            StatusCode::PRECONDITION_FAILED => Err(conflict(&reply)),
+            status if status == F::CONFLICT => Err(self.conflict(&reply)),
             status => Err(unexpected(status)),
         }
     }
@@ -181,22 +208,18 @@
     ///
     /// # Errors
     ///
-    /// Any of [`Error`] but a conflict.
+    /// [`Error::Compacted`] if the changes since `after` are not kept any
+    /// more; else any of [`Error`] but a conflict.
     pub async fn watch<T>(&self, kind: &str, after: Version, wait: Duration) -> Result<Watched<T>>
     where
         T: DeserializeOwned,
     {
-        let path = format!(
-            "/v1/watch/{}?after={}&timeout_ms={}",
-            escape(kind),
-            after.get(),
-            wait.as_millis()
-        );
-        let mut call = call(Method::GET, path, LIST_LIMIT);
+        let mut call = call(self.form.watch(kind, after, wait), LIST_LIMIT);
         call.wait = wait;
         let reply = self.send(call).await?;
         match reply.status {
-            StatusCode::OK => decode(&reply),
+            StatusCode::OK => self.form.watched(&reply.body),
+            StatusCode::GONE => Err(Error::Compacted { after }),
             status => Err(unexpected(status)),
         }
     }
@@ -206,20 +229,16 @@
         kind: &str,
         name: &str,
         value: &T,
-        condition: Option<(HeaderName, HeaderValue)>,
+        condition: Condition,
     ) -> Result<Version>
     where
         T: Serialize,
     {
-        let mut call = call(Method::PUT, object_path(kind, name), SHORT_LIMIT);
-        call.body = encode(value)?;
-        let json = HeaderValue::from_static("application/json");
-        call.headers.insert(header::CONTENT_TYPE, json);
-        call.headers.extend(condition);
+        let call = call(self.form.put(kind, name, value, condition)?, SHORT_LIMIT);
         let reply = self.send(call).await?;
         match reply.status {
-            StatusCode::OK => decode::<Written>(&reply).map(|written| written.version),
-            StatusCode::PRECONDITION_FAILED => Err(conflict(&reply)),
+            StatusCode::OK | StatusCode::CREATED => self.form.version(&reply.body),
+            status if status == F::CONFLICT => Err(self.conflict(&reply)),
             status => Err(unexpected(status)),
         }
     }
@@ -227,68 +246,24 @@
     async fn send(&self, call: Call) -> Result<Reply> {
         self.transport.send(call, self.priority).await
     }
+
+    /// A conflict with the version that the platform names.
+    fn conflict(&self, reply: &Reply) -> Error {
+        match self.form.version(&reply.body) {
+            Ok(standing) => Error::Conflict { standing },
+            Err(fault) => fault,
+        }
+    }
 }
 
-fn call(method: Method, path: String, limit: usize) -> Call {
+fn call(wire: Wire, limit: usize) -> Call {
     Call {
-        method,
-        path,
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
+        wire,
         limit,
         wait: Duration::ZERO,
     }
 }
 
-/// A version as an entity tag.
-fn tag(version: Version) -> HeaderValue {
-    HeaderValue::try_from(format!("\"{}\"", version.get())).expect("digits make a header value")
-}
-
-fn escape(text: &str) -> impl std::fmt::Display {
-    utf8_percent_encode(text, ESCAPED)
-}
-
-fn kind_path(kind: &str) -> String {
-    format!("/v1/objects/{}", escape(kind))
-}
-
-fn object_path(kind: &str, name: &str) -> String {
-    format!("{}/{}", kind_path(kind), escape(name))
-}
-
-fn encode<T>(value: &T) -> Result<Bytes>
-where
-    T: Serialize,
-{
-    let body =
-        serde_json::to_vec(value).map_err(|fault| Error::Unsendable(Unsendable::Form(fault)))?;
-    if body.len() > VALUE_LIMIT {
-        return Err(Error::Unsendable(Unsendable::Size {
-            size: units::Bytes::new(body.len() as u64),
-            limit: units::Bytes::new(VALUE_LIMIT as u64),
-        }));
-    }
-    Ok(body.into())
-}
-
-fn decode<T>(reply: &Reply) -> Result<T>
-where
-    T: DeserializeOwned,
-{
-    serde_json::from_slice(&reply.body).map_err(|fault| Error::Bad(Bad::Body(fault)))
-}
-
-/// A conflict with the version that the platform names.
-fn conflict(reply: &Reply) -> Error {
-    match decode::<Written>(reply) {
-        Ok(standing) => Error::Conflict {
-            standing: standing.version,
-        },
-        Err(fault) => fault,
-    }
-}
-
-fn unexpected(status: StatusCode) -> Error {
+const fn unexpected(status: StatusCode) -> Error {
     Error::Bad(Bad::Status(status))
 }
--- a/crates/catkinusher-platform/src/store/object.rs
+++ b/crates/catkinusher-platform/src/store/object.rs
@@ -43,9 +43,3 @@
     /// The changes; none if the wait ran out.
     pub events: Vec<Event<T>>,
 }
-
-/// The answer to a write, and to one that conflicts.
-#[derive(Debug, Clone, Copy, Deserialize)]
-pub(super) struct Written {
-    pub(super) version: Version,
-}
--- a/crates/catkinusher-platform/src/store/perform.rs
+++ b/crates/catkinusher-platform/src/store/perform.rs
@@ -6,10 +6,14 @@
 use catkinusher_core::object::{Answer, Call, Version};
 
 use crate::error::{Error, Result};
+use crate::form::Form;
 
 use super::Store;
 
-impl Store {
+impl<F> Store<F>
+where
+    F: Form,
+{
     /// Carries out a call on an object of `kind`, and gives what became of it.
     ///
     /// An answer that cannot be understood counts as lost, as it proves nothing.
@@ -52,6 +56,11 @@
         Ok(value) => done(value),
         Err(Error::Conflict { .. }) => Answer::Conflict,
         Err(Error::Lost(_) | Error::Bad(_)) => Answer::Lost,
-        Err(Error::Throttled { .. } | Error::Outage(_) | Error::Unsendable(_)) => Answer::Away,
+        Err(
+            Error::Throttled { .. }
+            | Error::Outage(_)
+            | Error::Unsendable(_)
+            | Error::Compacted { .. },
+        ) => Answer::Away,
     }
 }
--- a/crates/catkinusher-platform/src/transport/mod.rs
+++ b/crates/catkinusher-platform/src/transport/mod.rs
@@ -17,11 +17,21 @@
 use catkinusher_core::units;
 
 use crate::error::{Bad, Error, Lost, Outage, Result, Unsendable};
+use crate::form::Wire;
 use crate::gate::{Gate, Priority};
 
 /// How long an idle connection is kept; a silent one is found by the next call's timeout.
 const IDLE_LIMIT: Duration = Duration::from_secs(15);
 
+/// The pause before a keep-alive probe; a connection may go silent for good while a watch waits on it.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// The unanswered probes after which a connection is taken for dead.
+const KEEPALIVE_RETRIES: u32 = 2;
+
+/// How long sent bytes may stay unacknowledged, about two retransmissions on a link that loses packets.
+const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// The most idle connections that are kept to one address.
 const IDLE_COUNT: usize = 4;
 
@@ -33,10 +43,7 @@
 /// A call before it is sent.
 #[derive(Debug)]
 pub(crate) struct Call {
-    pub(crate) method: Method,
-    pub(crate) path: String,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) wire: Wire,
     pub(crate) limit: usize,
     pub(crate) wait: Duration,
 }
@@ -88,7 +95,7 @@
     pub(crate) async fn send(&self, call: Call, priority: Priority) -> Result<Reply> {
         let time = self.shared.timeout + call.wait;
         let deadline = Instant::now() + time;
-        let method = call.method.clone();
+        let method = call.wire.method.clone();
         self.shared.gate.pass(&method, priority, deadline).await?;
         let turn = self.shared.turn.load(Ordering::Relaxed);
         let outcome = match timeout_at(deadline, self.exchange(call, turn)).await {
@@ -124,11 +131,11 @@
     fn request(&self, call: Call, turn: usize) -> Result<Request<Full<Bytes>>> {
         let addr = self.shared.addrs[turn % self.shared.addrs.len()];
         let mut request = Request::builder()
-            .method(call.method)
-            .uri(format!("http://{addr}{}", call.path))
-            .body(Full::new(call.body))
+            .method(call.wire.method)
+            .uri(format!("http://{addr}{}", call.wire.path))
+            .body(Full::new(call.wire.body))
             .map_err(|fault| Error::Unsendable(Unsendable::Uri(fault)))?;
-        *request.headers_mut() = call.headers;
+        *request.headers_mut() = call.wire.headers;
         Ok(request)
     }
 
@@ -142,7 +149,10 @@
         match fault {
             Error::Throttled { after } => self.shared.gate.pause(method, *after),
             Error::Lost(_) | Error::Outage(_) => self.advance(turn),
-            Error::Conflict { .. } | Error::Bad(_) | Error::Unsendable(_) => {}
+            Error::Conflict { .. }
+            | Error::Compacted { .. }
+            | Error::Bad(_)
+            | Error::Unsendable(_) => {}
         }
     }
 
@@ -166,6 +176,10 @@
 fn connect(timeout: Duration) -> Http {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
+    connector.set_keepalive(Some(KEEPALIVE));
+    connector.set_keepalive_interval(Some(KEEPALIVE));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+    connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
     connector.set_connect_timeout(Some(timeout / 2));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
--- a/crates/catkinusher-platform/src/vms/mod.rs
+++ b/crates/catkinusher-platform/src/vms/mod.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, Method, StatusCode};
+use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use catkinusher_core::id::{DataCentreId, VmId};
 
 use crate::error::{Bad, Error, Result};
+use crate::form::Wire;
 use crate::gate::{Gate, Priority};
 use crate::transport::{Call, Transport};
 
@@ -87,10 +87,7 @@
     /// Any of [`Error`] but a conflict.
     pub async fn list(&self) -> Result<Vec<Member>> {
         let call = Call {
-            method: Method::GET,
-            path: "/v1/vms".to_owned(),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
+            wire: Wire::bare(Method::GET, "/v1/vms".to_owned()),
             limit: LIST_LIMIT,
             wait: Duration::ZERO,
         };
