--- /dev/null
+++ b/crates/catkinusher-core/src/directory/mod.rs
@@ -0,0 +1,243 @@
+//! Which service a caller's request goes to, and who may ask for it.
+//!
+//! One [`Directory`] is one revision of what operators declared: routes by
+//! host and path, services, customers by key and the limits on callers. It is
+//! built once per revision and then only read.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+
+use crate::engine::Rates;
+use crate::id::{CustomerId, ServiceId};
+use crate::units::Rate;
+
+/// What may happen to a request more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    /// It may run any number of times.
+    Safe,
+    /// It runs at most once.
+    Once,
+}
+
+/// How the answer of a route comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Delivery {
+    /// Whole.
+    Whole,
+    /// As a stream of numbered events.
+    Events {
+        /// The longest pause between events for which an answer is on time.
+        pause: Option<Duration>,
+    },
+}
+
+/// A rule that sends a host's paths to services.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// Its name, for logs.
+    pub name: Arc<str>,
+    /// The host that callers name.
+    pub host: String,
+    /// The beginning of the paths that it serves.
+    pub prefix: String,
+    /// Whether a request may run again; a stream that may be resumed may.
+    pub repeat: Repeat,
+    /// How its answers come.
+    pub delivery: Delivery,
+    /// The longest time for which a request is kept waiting.
+    pub timeout: Duration,
+    /// The time within which an answer is on time.
+    pub objective: Duration,
+    /// Its rank, the lowest first.
+    pub priority: u8,
+    /// The most upstreams that one request may be sent to.
+    pub attempts: u32,
+    /// Whether it is served without a key.
+    pub public: bool,
+    /// The services behind it with their weights.
+    pub split: Vec<(ServiceId, f64)>,
+}
+
+impl Route {
+    /// Draws the service of a request by the weights.
+    pub fn service<R>(&self, rng: &mut R) -> Option<&ServiceId>
+    where
+        R: Rng,
+    {
+        let total: f64 = self.split.iter().map(|(_, weight)| weight).sum();
+        if self.split.len() < 2 || total <= 0.0 {
+            return self.split.first().map(|(service, _)| service);
+        }
+        let mut drawn = rng.random_range(0.0..total);
+        for (service, weight) in &self.split {
+            if drawn < *weight {
+                return Some(service);
+            }
+            drawn -= weight;
+        }
+        self.split.last().map(|(service, _)| service)
+    }
+
+    /// Whether its answers are streams.
+    #[must_use]
+    pub const fn streams(&self) -> bool {
+        matches!(self.delivery, Delivery::Events { .. })
+    }
+}
+
+/// What is declared of a service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceId,
+    /// The requests a second that one cold upstream bears, if it starts cold.
+    pub cold: Option<Rate>,
+    /// How its engines work, if it is a model.
+    pub engine: Option<Rates>,
+}
+
+/// A customer and its rank.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Customer {
+    /// The name that upstreams are told.
+    pub name: CustomerId,
+    /// Its rank, which goes before that of a route.
+    pub priority: Option<u8>,
+}
+
+/// What callers may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// The largest head, in bytes.
+    pub head: usize,
+    /// The largest body, in bytes.
+    pub body: usize,
+    /// The longest time that a head may take.
+    pub head_time: Duration,
+    /// The longest time that a connection may rest between requests.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        // Before a revision is known nothing is served, so these only bound bad input.
+        Self {
+            head: 16 * 1024,
+            body: 4 * 1024 * 1024,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One revision of what operators declared.
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    revision: u64,
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    services: BTreeMap<ServiceId, Arc<Service>>,
+    keys: HashMap<String, Arc<Customer>>,
+    keyed: bool,
+    limits: Limits,
+}
+
+impl Directory {
+    /// A directory of these routes, services and customers with their keys.
+    ///
+    /// Without customers, callers need no key.
+    #[must_use]
+    pub fn new(
+        revision: u64,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        customers: Option<Vec<(Customer, Vec<String>)>>,
+        limits: Limits,
+    ) -> Self {
+        let mut hosts = HashMap::<String, Vec<Arc<Route>>>::new();
+        for route in routes {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let keyed = customers.is_some();
+        let mut keys = HashMap::new();
+        for (customer, secrets) in customers.unwrap_or_default() {
+            let customer = Arc::new(customer);
+            keys.extend(
+                secrets
+                    .into_iter()
+                    .map(|key| (key, Arc::clone(&customer))),
+            );
+        }
+        let services = services
+            .into_iter()
+            .map(|service| (service.name.clone(), Arc::new(service)))
+            .collect();
+        Self {
+            revision,
+            hosts,
+            services,
+            keys,
+            keyed,
+            limits,
+        }
+    }
+
+    /// Its revision, which rises with each change.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The limits on callers.
+    #[must_use]
+    pub const fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Whether callers need a key where a route is not public.
+    #[must_use]
+    pub const fn keyed(&self) -> bool {
+        self.keyed
+    }
+
+    /// The route with the longest prefix of `path` on a host.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.hosts.get(&host.to_ascii_lowercase())?;
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The customer that holds a key.
+    #[must_use]
+    pub fn customer(&self, key: &str) -> Option<&Arc<Customer>> {
+        self.keys.get(key)
+    }
+
+    /// What is declared of a service.
+    #[must_use]
+    pub fn service(&self, name: &ServiceId) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    /// The number of routes.
+    #[must_use]
+    pub fn routes(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/catkinusher-core/src/engine/mod.rs
@@ -0,0 +1,59 @@
+//! What a prompt costs a model engine, from the rates that operators declare.
+//!
+//! An engine works in passes: it reads prompts in chunks between the steps of
+//! the answers that it writes. Reading a long prompt costs more a token the
+//! further it gets, since each token is paired with all before it. Placing
+//! needs both figures: how long a prompt occupies an engine, and how long it
+//! holds up the streams beside it (see
+//! [docs/design/platform.md](../../../../docs/design/platform.md)).
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::units::{Rate, Tokens};
+
+/// How the engines of a service work.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Rates {
+    /// The answers that one engine writes at once.
+    pub slots: u32,
+    /// The tokens that one engine's memory holds.
+    pub memory: Tokens,
+    /// The time of one step without answers or context, in milliseconds.
+    pub step: f64,
+    /// What each answer adds to a step, in milliseconds.
+    pub answer: f64,
+    /// What a thousand tokens of context add to a step, in milliseconds.
+    pub context: f64,
+    /// The prompt tokens read a second, pairs not counted.
+    pub read: Rate,
+    /// What a million pairs of tokens add to reading, in milliseconds.
+    pub pairs: f64,
+    /// The steps of one pass while answers are written.
+    pub stride: u32,
+    /// The mean length of an answer.
+    pub usual: Tokens,
+    /// Whether prompts may be read by several engines together.
+    pub joint: bool,
+}
+
+impl Rates {
+    /// How long one engine is busy reading a prompt.
+    #[must_use]
+    pub fn reading(&self, prompt: Tokens) -> Duration {
+        let tokens = prompt.get() as f64;
+        let plain = tokens / self.read.get().max(1.0);
+        let pairs = tokens * tokens / 2e6 * self.pairs / 1e3;
+        Duration::from_secs_f64(plain + pairs)
+    }
+
+    /// How long one pass takes with `answers` under way that hold `context` tokens.
+    #[must_use]
+    pub fn pass(&self, answers: u32, context: Tokens) -> Duration {
+        let step = self.step
+            + self.answer * f64::from(answers)
+            + self.context * context.get() as f64 / 1e3;
+        Duration::from_secs_f64(step * f64::from(self.stride) / 1e3)
+    }
+}
--- /dev/null
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -0,0 +1,295 @@
+//! What a node believes of the upstreams, and where it places a request.
+//!
+//! Each node decides alone, from the upstreams that are listed, from what it
+//! sent itself and from the loads that its peers tell it. Nothing here is a
+//! promise between nodes: a belief that is stale costs time, never correctness
+//! (see [docs/design/platform.md](../../../../docs/design/platform.md)).
+
+mod health;
+mod load;
+mod place;
+mod upstream;
+
+pub use self::health::Fault;
+pub use self::load::{Cost, Load, Work};
+pub use self::place::{Demand, Overload, Placement, Policy};
+pub use self::upstream::Upstream;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use self::health::Health;
+use crate::id::{DataCentreId, ServiceId, UpstreamId};
+use crate::time::Time;
+use crate::units::Rate;
+
+/// How long a peer's loads are believed without news, a few of its reports.
+const LOADS_LIFE: Duration = Duration::from_millis(2500);
+
+/// How long an upstream whose entry lapsed in an outage of the store is kept;
+/// entries of upstreams that live are back within two seconds of its return.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+#[derive(Debug, Clone)]
+struct Entry {
+    upstream: Upstream,
+    rank: u64,
+    warm: Time,
+    lapse: Option<Time>,
+    health: Health,
+    own: Load,
+    sent: Vec<Time>,
+}
+
+#[derive(Debug, Clone)]
+struct Told {
+    at: Time,
+    loads: HashMap<u32, Load>,
+}
+
+/// The upstreams as one node sees them.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    home: DataCentreId,
+    entries: BTreeMap<UpstreamId, Entry>,
+    drained: BTreeSet<DataCentreId>,
+    peers: HashMap<u64, Told>,
+    work: HashMap<u64, (UpstreamId, Cost, bool)>,
+    next: u64,
+    sizing: BTreeMap<ServiceId, place::Sizing>,
+}
+
+impl Fleet {
+    /// An empty fleet, seen from a data centre.
+    #[must_use]
+    pub fn new(home: DataCentreId) -> Self {
+        Self {
+            home,
+            entries: BTreeMap::new(),
+            drained: BTreeSet::new(),
+            peers: HashMap::new(),
+            work: HashMap::new(),
+            next: 0,
+            sizing: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in a whole list.
+    ///
+    /// What is missing from it is gone, or kept for a short grace if the list
+    /// is the first after an outage of the store, in which entries may lapse.
+    pub fn on_list(&mut self, listed: Vec<Upstream>, outage: bool, now: Time) {
+        let names: BTreeSet<UpstreamId> = listed.iter().map(|one| one.id.clone()).collect();
+        for upstream in listed {
+            self.on_change(upstream, now);
+        }
+        let missing: Vec<UpstreamId> = self
+            .entries
+            .keys()
+            .filter(|id| !names.contains(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.on_removed(&id, outage, now);
+        }
+    }
+
+    /// Takes in one upstream as it is listed now.
+    pub fn on_change(&mut self, upstream: Upstream, now: Time) {
+        let warm = now + upstream.cold;
+        if let Some(entry) = self.entries.get_mut(&upstream.id) {
+            if entry.upstream.started != upstream.started {
+                entry.health = Health::default();
+            }
+            entry.lapse = None;
+            entry.warm = warm;
+            entry.upstream = upstream;
+            return;
+        }
+        let entry = Entry {
+            rank: place::rank(&upstream.id),
+            warm,
+            lapse: None,
+            health: Health::default(),
+            own: Load::default(),
+            sent: Vec::new(),
+            upstream,
+        };
+        self.entries.insert(entry.upstream.id.clone(), entry);
+    }
+
+    /// Takes in that an upstream is listed no more.
+    pub fn on_removed(&mut self, id: &UpstreamId, outage: bool, now: Time) {
+        if !outage {
+            self.entries.remove(id);
+        } else if let Some(entry) = self.entries.get_mut(id) {
+            entry.lapse.get_or_insert(now + LAPSE_GRACE);
+        }
+    }
+
+    /// Forgets the upstreams whose grace is over.
+    pub fn expire(&mut self, now: Time) -> Vec<UpstreamId> {
+        let gone: Vec<UpstreamId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.lapse.is_some_and(|until| now >= until))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.entries.remove(id);
+        }
+        gone
+    }
+
+    /// Takes in which data centres are to get nothing.
+    pub fn on_drained(&mut self, drained: BTreeSet<DataCentreId>) {
+        self.drained = drained;
+    }
+
+    /// The data centres that are to get nothing.
+    #[must_use]
+    pub const fn drained(&self) -> &BTreeSet<DataCentreId> {
+        &self.drained
+    }
+
+    /// Takes in what a peer has under way.
+    pub fn on_loads(&mut self, peer: u64, loads: HashMap<u32, Load>, now: Time) {
+        self.peers.insert(peer, Told { at: now, loads });
+        self.peers
+            .retain(|_, told| now.since(told.at) < LOADS_LIFE);
+    }
+
+    /// What this node has under way, by the upstreams' short names.
+    #[must_use]
+    pub fn loads(&self) -> HashMap<u32, Load> {
+        self.entries
+            .values()
+            .filter(|entry| !entry.own.is_idle())
+            .map(|entry| (place::short(entry.rank), entry.own))
+            .collect()
+    }
+
+    /// The nodes that are known to serve, this one counted.
+    #[must_use]
+    pub fn nodes(&self, now: Time) -> usize {
+        let heard = |told: &&Told| now.since(told.at) < LOADS_LIFE;
+        1 + self.peers.values().filter(heard).count()
+    }
+
+    /// The number of upstreams listed.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no upstream is listed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// An upstream as it is listed.
+    #[must_use]
+    pub fn get(&self, id: &UpstreamId) -> Option<&Upstream> {
+        self.entries.get(id).map(|entry| &entry.upstream)
+    }
+
+    /// Whether an upstream may get requests: it is listed, stays, and its data centre is not drained.
+    #[must_use]
+    pub fn serves(&self, id: &UpstreamId) -> bool {
+        self.entries.get(id).is_some_and(|entry| self.open(entry))
+    }
+
+    /// Notes that a request goes to an upstream.
+    pub fn begin(&mut self, id: &UpstreamId, cost: Cost, now: Time) -> Work {
+        self.next += 1;
+        let work = Work::new(self.next);
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.own.add(&cost);
+            entry.sent.retain(|at| now.since(*at) < COLD_WINDOW);
+            entry.sent.push(now);
+        }
+        self.work.insert(work.get(), (id.clone(), cost, false));
+        work
+    }
+
+    /// Notes that the prompt of a request is read.
+    pub fn on_read(&mut self, work: Work) {
+        if let Some((id, cost, read)) = self.work.get_mut(&work.get())
+            && !*read
+        {
+            *read = true;
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.own.on_read(cost);
+            }
+        }
+    }
+
+    /// Notes that a request has left its upstream.
+    pub fn end(&mut self, work: Work) {
+        if let Some((id, cost, read)) = self.work.remove(&work.get())
+            && let Some(entry) = self.entries.get_mut(&id)
+        {
+            if !read {
+                entry.own.on_read(&cost);
+            }
+            entry.own.remove(&cost);
+        }
+    }
+
+    /// Notes that an upstream answered as it should.
+    pub fn on_success(&mut self, id: &UpstreamId) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.health.on_success();
+        }
+    }
+
+    /// Notes that an upstream failed a request.
+    pub fn on_fault(&mut self, id: &UpstreamId, fault: Fault, now: Time) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.health.on_fault(fault, now);
+        }
+    }
+
+    fn open(&self, entry: &Entry) -> bool {
+        !entry.upstream.leaving && !self.drained.contains(&entry.upstream.data_centre)
+    }
+
+    /// What all nodes are known to have under way at an upstream.
+    fn load(&self, entry: &Entry, now: Time) -> Load {
+        let short = place::short(entry.rank);
+        let mut load = entry.own;
+        for told in self.peers.values() {
+            if now.since(told.at) < LOADS_LIFE
+                && let Some(theirs) = told.loads.get(&short)
+            {
+                load.merge(theirs);
+            }
+        }
+        load
+    }
+
+    /// Whether a cold upstream may get one more request from this node.
+    ///
+    /// The nodes share what it bears evenly, so that their sum stays below it
+    /// without a word between them.
+    fn bears(&self, entry: &Entry, cold: Option<Rate>, now: Time) -> bool {
+        let Some(rate) = cold.filter(|_| now < entry.warm) else {
+            return true;
+        };
+        let nodes = self.nodes(now).max(LEAST_NODES) as f64;
+        let share = (rate.get() / nodes).floor().max(1.0);
+        let recent = entry
+            .sent
+            .iter()
+            .filter(|at| now.since(**at) < COLD_WINDOW)
+            .count();
+        (recent as f64) < share
+    }
+}
+
+/// The window in which requests to a cold upstream are counted.
+const COLD_WINDOW: Duration = Duration::from_millis(1100);
+
+/// The nodes that a node assumes to share a cold upstream, as it may not have heard of all.
+const LEAST_NODES: usize = 12;
--- /dev/null
+++ b/crates/catkinusher-core/src/fleet/place.rs
@@ -0,0 +1,417 @@
+//! Where a request goes.
+//!
+//! Short and long prompts are kept on different engines as far as the load
+//! allows. An engine that reads a long prompt holds up every answer that it
+//! writes, so one long prompt in a batch makes all short ones beside it late.
+//! Engines stand in one order that all nodes share: short prompts fill it from
+//! the front, long ones are read by the engines behind, several together.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+
+use super::{Cost, Entry, Fleet, Load};
+use crate::directory::Service;
+use crate::engine::Rates;
+use crate::id::{ServiceId, UpstreamId};
+use crate::rendezvous::Salt;
+use crate::time::Time;
+use crate::units::{Rate, Tokens};
+
+const SALT: Salt = Salt::new(0x666c_6565_7421);
+
+/// The bounds of placing.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Policy {
+    /// The reading time above which a prompt counts as long.
+    pub long: Duration,
+    /// The share of an engine's places that short prompts fill before the next engine is opened.
+    pub fill: f64,
+    /// The reading time that each engine should get of a long prompt.
+    pub part: Duration,
+    /// The most engines that read one prompt together.
+    pub helpers: usize,
+    /// Requests beyond the places of an upstream that may wait there.
+    pub waiting: u32,
+    /// How long the number of engines for short prompts stays after less is needed.
+    pub hold: Duration,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            // Half of what a short stream bears between two events.
+            long: Duration::from_millis(150),
+            // Leaves room for what other nodes place at the same moment.
+            fill: 0.8,
+            // Two parts and a pass together stay within the pauses of most answers.
+            part: Duration::from_millis(250),
+            // The most that an engine takes on its list, itself counted.
+            helpers: 16,
+            // A few requests wait for less than a pass.
+            waiting: 2,
+            // About the length of an answer.
+            hold: Duration::from_secs(2),
+        }
+    }
+}
+
+/// What a request needs of its upstream.
+#[derive(Debug, Clone, Default)]
+pub struct Demand {
+    /// The length of its prompt, if it is for a model.
+    pub prompt: Tokens,
+    /// The most tokens that its answer may have.
+    pub answer: Tokens,
+    /// How long the caller waits for the first sign.
+    pub patience: Duration,
+    /// The upstreams that have failed it already.
+    pub avoid: Vec<UpstreamId>,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// The upstream that gets the request and answers.
+    pub first: UpstreamId,
+    /// What it costs that upstream.
+    pub cost: Cost,
+    /// Engines that read parts of the prompt, and what that costs each.
+    pub helpers: Vec<(UpstreamId, Cost)>,
+}
+
+/// Why a request finds no upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Overload {
+    /// None is listed that serves.
+    None,
+    /// All are full; room is expected after this time.
+    Full(Duration),
+    /// No engine's memory holds the prompt.
+    TooLong,
+}
+
+/// How many engines take short prompts, kept for a while.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Sizing {
+    shorts: usize,
+    since: Time,
+}
+
+impl Sizing {
+    fn update(&mut self, wanted: usize, hold: Duration, now: Time) -> usize {
+        if wanted >= self.shorts || now.since(self.since) >= hold {
+            self.shorts = wanted;
+            self.since = now;
+        }
+        self.shorts
+    }
+}
+
+/// The place of an upstream in the order that all nodes share.
+pub(super) fn rank(id: &UpstreamId) -> u64 {
+    SALT.score("order", id.as_str())
+}
+
+/// A name of an upstream that is short enough to be told often.
+pub(super) const fn short(rank: u64) -> u32 {
+    (rank >> 32) as u32
+}
+
+struct Candidate<'a> {
+    id: &'a UpstreamId,
+    entry: &'a Entry,
+    load: Load,
+    near: bool,
+}
+
+impl Fleet {
+    /// Chooses the upstream of a request, and the helpers of a long one.
+    ///
+    /// # Errors
+    ///
+    /// An [`Overload`] if no upstream can serve it in time.
+    pub fn place<R>(
+        &mut self,
+        service: &Service,
+        demand: &Demand,
+        policy: &Policy,
+        now: Time,
+        rng: &mut R,
+    ) -> Result<Placement, Overload>
+    where
+        R: Rng,
+    {
+        let mut sizing = self.sizing.remove(&service.name).unwrap_or_default();
+        let placed = match &service.engine {
+            None => self.place_plain(service, demand, policy, now, rng),
+            Some(rates) => self.place_prompt(service, rates, demand, policy, &mut sizing, now, rng),
+        };
+        self.sizing.insert(service.name.clone(), sizing);
+        placed
+    }
+
+    fn candidates(
+        &self,
+        service: &ServiceId,
+        cold: Option<Rate>,
+        avoid: &[UpstreamId],
+        now: Time,
+    ) -> Vec<Candidate<'_>> {
+        let usable: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.upstream.service == *service && self.open(entry))
+            .filter(|(_, entry)| self.bears(entry, cold, now))
+            .collect();
+        let fresh = |id: &UpstreamId| !avoid.contains(id);
+        let sound = |entry: &Entry| !entry.health.rests(now);
+        // Upstreams that rest or have failed this request come only when all do.
+        let best = usable
+            .iter()
+            .map(|(id, entry)| (fresh(id), sound(entry)))
+            .max()
+            .unwrap_or_default();
+        usable
+            .into_iter()
+            .filter(|(id, entry)| (fresh(id), sound(entry)) == best)
+            .map(|(id, entry)| Candidate {
+                id,
+                entry,
+                load: self.load(entry, now),
+                near: entry.upstream.data_centre == self.home,
+            })
+            .collect()
+    }
+
+    fn place_plain<R>(
+        &self,
+        service: &Service,
+        demand: &Demand,
+        policy: &Policy,
+        now: Time,
+        rng: &mut R,
+    ) -> Result<Placement, Overload>
+    where
+        R: Rng,
+    {
+        let candidates = self.candidates(&service.name, service.cold, &demand.avoid, now);
+        let score = |one: &Candidate<'_>| {
+            let places = f64::from(one.entry.upstream.slots.max(1));
+            let busy = f64::from(one.load.answers()) / places;
+            // A share of failures weighs like twice that share of its places.
+            let far = if one.near { 0.0 } else { NEAR_GAIN };
+            busy + 2.0 * one.entry.health.failing() + far
+        };
+        let best = pick(&candidates, score, rng).ok_or(Overload::None)?;
+        let places = best.entry.upstream.slots;
+        if best.load.answers() >= places + policy.waiting.max(places) {
+            return Err(Overload::Full(RETRY_PLAIN));
+        }
+        Ok(Placement {
+            first: best.id.clone(),
+            cost: Cost::default(),
+            helpers: Vec::new(),
+        })
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one decision over all that is known")]
+    fn place_prompt<R>(
+        &self,
+        service: &Service,
+        rates: &Rates,
+        demand: &Demand,
+        policy: &Policy,
+        sizing: &mut Sizing,
+        now: Time,
+        rng: &mut R,
+    ) -> Result<Placement, Overload>
+    where
+        R: Rng,
+    {
+        let mut candidates = self.candidates(&service.name, service.cold, &demand.avoid, now);
+        if candidates.is_empty() {
+            return Err(Overload::None);
+        }
+        candidates.sort_by_key(|one| one.entry.rank);
+        let whole = demand.prompt + demand.answer;
+        if whole > rates.memory {
+            return Err(Overload::TooLong);
+        }
+        let reading = rates.reading(demand.prompt);
+        let shorts = shorts(&candidates, rates, policy, sizing, now);
+        if reading < policy.long {
+            self.place_short(&candidates, rates, demand, policy, shorts, reading, rng)
+        } else {
+            place_long(&candidates[shorts..], rates, demand, policy, reading, rng)
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one decision over all that is known")]
+    fn place_short<R>(
+        &self,
+        candidates: &[Candidate<'_>],
+        rates: &Rates,
+        demand: &Demand,
+        policy: &Policy,
+        shorts: usize,
+        reading: Duration,
+        rng: &mut R,
+    ) -> Result<Placement, Overload>
+    where
+        R: Rng,
+    {
+        let slots = f64::from(rates.slots.max(1));
+        let limit = policy.long.as_millis() as f64;
+        let score = |one: &Candidate<'_>| {
+            let busy = f64::from(one.load.answers()) / slots;
+            let reading = one.load.unread as f64 / limit;
+            let far = if one.near { 0.0 } else { NEAR_GAIN };
+            busy + reading + 2.0 * one.entry.health.failing() + far
+        };
+        let front = &candidates[..shorts.max(1).min(candidates.len())];
+        let mut best = pick(front, score, rng).ok_or(Overload::None)?;
+        if best.load.answers() >= rates.slots {
+            // The engines behind are better than a wait for a place.
+            best = pick(candidates, score, rng).ok_or(Overload::None)?;
+        }
+        if best.load.answers() >= rates.slots + policy.waiting {
+            return Err(Overload::Full(RETRY_SHORT));
+        }
+        Ok(Placement {
+            first: best.id.clone(),
+            cost: Cost {
+                long: false,
+                reading,
+                held: demand.prompt + demand.answer,
+            },
+            helpers: Vec::new(),
+        })
+    }
+}
+
+/// How many engines, from the front of the order, are for short prompts.
+fn shorts(
+    candidates: &[Candidate<'_>],
+    rates: &Rates,
+    policy: &Policy,
+    sizing: &mut Sizing,
+    now: Time,
+) -> usize {
+    let count = candidates.len();
+    let under: u32 = candidates.iter().map(|one| one.load.shorts).sum();
+    let each = f64::from(rates.slots) * policy.fill;
+    let wanted = (f64::from(under + 1) / each.max(1.0)).ceil() as usize;
+    // Long prompts keep an eighth of the engines, and one at least.
+    let most = count.saturating_sub((count / 8).max(1)).max(1);
+    sizing.update(wanted.clamp(1, most), policy.hold, now)
+        .min(count.saturating_sub(1))
+}
+
+fn place_long<R>(
+    behind: &[Candidate<'_>],
+    rates: &Rates,
+    demand: &Demand,
+    policy: &Policy,
+    reading: Duration,
+    rng: &mut R,
+) -> Result<Placement, Overload>
+where
+    R: Rng,
+{
+    let whole = demand.prompt + demand.answer;
+    let fits = |one: &&Candidate<'_>| {
+        one.load.held + whole.get() <= rates.memory.get() && one.load.answers() < rates.slots
+    };
+    let score = |one: &Candidate<'_>| {
+        let far = if one.near { 0.0 } else { 5.0 };
+        let unread = one.load.unread as f64;
+        let beside = f64::from(one.load.answers()) * ANSWER_WEIGHT;
+        unread + beside + 500.0 * one.entry.health.failing() + far
+    };
+    let room: Vec<&Candidate<'_>> = behind.iter().filter(fits).collect();
+    let best = room
+        .iter()
+        .map(|one| (score(one) + rng.random_range(0.0..1.0), *one))
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, one)| one)
+        .ok_or(Overload::Full(RETRY_LONG))?;
+    let wanted = (reading.as_secs_f64() / policy.part.as_secs_f64()).ceil() as usize;
+    let parts = if rates.joint { wanted } else { 1 }
+        .min(policy.helpers)
+        .min(behind.len())
+        .max(1);
+    let mut others: Vec<&Candidate<'_>> =
+        behind.iter().filter(|one| one.id != best.id).collect();
+    others.sort_by(|a, b| score(a).total_cmp(&score(b)));
+    others.truncate(parts - 1);
+    let part = reading / (others.len() as u32 + 1);
+    let wait = others
+        .iter()
+        .copied()
+        .chain([best])
+        .map(|one| one.load.unread)
+        .max()
+        .map_or(Duration::ZERO, Duration::from_millis);
+    if wait + part > demand.patience {
+        return Err(Overload::Full(RETRY_LONG));
+    }
+    let helpers = others
+        .into_iter()
+        .map(|one| {
+            let cost = Cost {
+                long: true,
+                reading: part,
+                held: Tokens::ZERO,
+            };
+            (one.id.clone(), cost)
+        })
+        .collect();
+    Ok(Placement {
+        first: best.id.clone(),
+        cost: Cost {
+            long: true,
+            reading: part,
+            held: whole,
+        },
+        helpers,
+    })
+}
+
+/// The candidate with the lowest score; equal ones are drawn.
+fn pick<'a, 'b, F, R>(
+    candidates: &'b [Candidate<'a>],
+    score: F,
+    rng: &mut R,
+) -> Option<&'b Candidate<'a>>
+where
+    F: Fn(&Candidate<'a>) -> f64,
+    R: Rng,
+{
+    candidates
+        .iter()
+        .map(|one| (score(one) + rng.random_range(0.0..TIE), one))
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, one)| one)
+}
+
+/// What an upstream of the same data centre is ahead by, as a share of its places.
+const NEAR_GAIN: f64 = 0.03;
+
+/// Scores this near to each other count as equal.
+const TIE: f64 = 0.02;
+
+/// What an answer under way weighs in milliseconds of reading, for a long prompt's choice.
+const ANSWER_WEIGHT: f64 = 15.0;
+
+/// When a place of a plain service is free again, a few calls later.
+const RETRY_PLAIN: Duration = Duration::from_millis(150);
+
+/// When a place for a short prompt is free again, by the length of usual answers.
+const RETRY_SHORT: Duration = Duration::from_millis(800);
+
+/// When the engines have read the long prompts that wait.
+const RETRY_LONG: Duration = Duration::from_millis(1500);
+
--- a/crates/catkinusher-core/src/outcome/refusal.rs
+++ b/crates/catkinusher-core/src/outcome/refusal.rs
@@ -338,6 +338,12 @@
         }
     }
 
+    /// How long the caller should wait before another try, if one makes sense.
+    #[must_use]
+    pub fn wait(&self) -> Option<std::time::Duration> {
+        self.after().map(Span::get)
+    }
+
     const fn after(&self) -> Option<Span> {
         match self {
             Self::OverLimit { after, .. }
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/answer.rs
@@ -0,0 +1,137 @@
+//! Answers to callers: what upstreams said, or why they said nothing.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use catkinusher_core::outcome::Refusal;
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
+    TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use hyper::body::{Body, Frame, SizeHint};
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+use super::dialect::Dialect;
+
+/// A stream that ended before its last event; the caller's connection is cut.
+#[derive(Debug, Clone, Copy, Error)]
+#[error("the upstream's stream broke off")]
+pub(super) struct Broken;
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(super) enum Content {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Events as they come.
+    Events(mpsc::Receiver<Result<Bytes, Broken>>),
+}
+
+impl Body for Content {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Events(events) => events
+                .poll_recv(context)
+                .map(|event| event.map(|event| event.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(Some(bytes)) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Whole(None) => SizeHint::with_exact(0),
+            Self::Events(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer with its whole body.
+pub(super) fn whole(status: StatusCode, headers: HeaderMap, body: Bytes) -> Response<Content> {
+    let content = (!body.is_empty()).then_some(body);
+    let mut response = Response::new(Content::Whole(content));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// The answer to a request that is refused or has failed.
+pub(super) fn refusal<D>(dialect: &D, refusal: &Refusal) -> Response<Content>
+where
+    D: Dialect,
+{
+    let problem = refusal.problem(None);
+    let status =
+        StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    // A problem has a plain text, so that this cannot fail; its title says the same.
+    let body = serde_json::to_vec(&problem).unwrap_or_else(|_| problem.title.into_bytes());
+    let mut headers = HeaderMap::new();
+    headers.insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
+    if let Some(wait) = refusal.wait() {
+        dialect.wait(&mut headers, wait);
+    }
+    whole(status, headers, body.into())
+}
+
+/// Drops the headers that concern one connection only.
+pub(super) fn end_to_end(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    let hop = [
+        CONNECTION,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ];
+    for name in hop {
+        headers.remove(name);
+    }
+}
+
+/// Drops the length too, which our own framing of a stream replaces.
+pub(super) fn streamed(headers: &mut HeaderMap) {
+    end_to_end(headers);
+    headers.remove(CONTENT_LENGTH);
+}
+
+/// How long an upstream keeps a connection, as its answer says.
+pub(super) fn kept(headers: &HeaderMap) -> Option<Duration> {
+    headers
+        .get("keep-alive")?
+        .to_str()
+        .ok()?
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))
+        .and_then(|secs| secs.trim().parse().ok())
+        .map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/attempt.rs
@@ -0,0 +1,425 @@
+//! Sending a request to an upstream, and deciding on another attempt.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use catkinusher_core::directory::{Delivery, Repeat};
+use catkinusher_core::fleet::{Cost, Demand, Fault, Overload, Placement, Work};
+use catkinusher_core::id::UpstreamId;
+use catkinusher_core::outcome::{Evidence, Refusal};
+use catkinusher_core::retry::{self, Decision, Failure, Reason};
+use catkinusher_core::units::Span;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use tracing::info;
+
+use super::answer;
+use super::dialect::{Dialect, Dispatch, Verdict};
+use super::handle::Job;
+use super::pool::Link;
+use super::state::State;
+
+/// The least time for which an attempt is worth starting: a hop and a short pass.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+
+/// Upstreams that may turn out unreachable or moved before a request is given up; nothing was sent to them.
+const DETOURS: u32 = 4;
+
+/// The least time after which a silent upstream is taken for lost, a few passes of a busy engine.
+const LEAST_SILENCE: Duration = Duration::from_millis(900);
+
+/// The multiple of the objective after which a silent upstream is taken for lost.
+const SILENCE: u32 = 2;
+
+/// When to come back if no upstream can be had: they restart within seconds.
+const NONE_WAIT: Span = Span::from_millis(500);
+
+/// When to come back after an upstream refused.
+const REFUSED_WAIT: Span = Span::from_millis(300);
+
+/// How long a connection may take to be free after its answer; the request may still be on its way.
+const FREE_LIMIT: Duration = Duration::from_millis(500);
+
+/// What an attempt holds at upstreams, given back when it is dropped.
+#[derive(Debug)]
+pub(super) struct Held<D> {
+    state: Arc<State<D>>,
+    works: Vec<Work>,
+}
+
+impl<D> Held<D> {
+    /// Notes that the prompt is read.
+    pub(super) fn on_read(&self) {
+        let mut fleet = self.state.fleet();
+        for work in &self.works {
+            fleet.on_read(*work);
+        }
+        drop(fleet);
+        self.state.changed.notify_one();
+    }
+}
+
+impl<D> Drop for Held<D> {
+    fn drop(&mut self) {
+        let mut fleet = self.state.fleet();
+        for work in self.works.drain(..) {
+            fleet.end(work);
+        }
+        drop(fleet);
+        self.state.changed.notify_one();
+    }
+}
+
+/// An attempt whose answer has begun.
+#[derive(Debug)]
+pub(super) struct Live<D>
+where
+    D: Dialect,
+{
+    pub(super) response: Response<Incoming>,
+    pub(super) upstream: UpstreamId,
+    pub(super) address: SocketAddr,
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) held: Held<D>,
+}
+
+/// How an attempt ended without an answer.
+enum Miss {
+    /// Nothing was sent; another upstream may be tried.
+    Unsent(String),
+    /// The upstream refused, and did not run it.
+    Refused,
+    /// Another upstream has the address.
+    Moved,
+    /// It may have run.
+    Lost(Fault, String),
+    /// The deadline came.
+    Late,
+}
+
+impl<D> State<D>
+where
+    D: Dialect,
+{
+    /// Keeps a connection once its request has left it whole.
+    pub(super) fn keep(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        mut sender: SendRequest<Full<Bytes>>,
+        life: Option<Duration>,
+    ) {
+        if sender.is_ready() {
+            self.pool.put(address, sender, life, self.now());
+            return;
+        }
+        let state = Arc::clone(self);
+        tokio::spawn(async move {
+            let free = tokio::time::timeout(FREE_LIMIT, sender.ready()).await;
+            if matches!(free, Ok(Ok(()))) {
+                state.pool.put(address, sender, life, state.now());
+            }
+        });
+    }
+}
+
+impl<D> Job<D>
+where
+    D: Dialect,
+{
+    /// Sends the request until an upstream begins to answer.
+    ///
+    /// # Errors
+    ///
+    /// The refusal for the caller.
+    pub(super) async fn send(&mut self, resume: Option<u64>) -> Result<Live<D>, Refusal> {
+        let mut detours = 0;
+        loop {
+            if self.left() < LEAST_TIME {
+                return Err(self.late());
+            }
+            let (placement, address, helpers) = self.place()?;
+            let upstream = placement.first.clone();
+            let held = self.hold(&placement);
+            match self.exchange(&upstream, address, helpers, held, resume).await {
+                Ok(live) => return Ok(live),
+                Err(Miss::Late) => return Err(self.late()),
+                Err(Miss::Unsent(detail)) => {
+                    self.fail(&upstream, address, Fault::Unreachable, &detail);
+                    detours += 1;
+                }
+                Err(Miss::Moved) => {
+                    self.fail(&upstream, address, Fault::Moved, "another has the address");
+                    detours += 1;
+                }
+                Err(Miss::Refused) => {
+                    self.fail(&upstream, address, Fault::Refused, "it refused");
+                    self.again(&upstream)
+                        .map_err(|_reason| self.refused(REFUSED_WAIT))?;
+                }
+                Err(Miss::Lost(fault, detail)) => {
+                    self.fail(&upstream, address, fault, &detail);
+                    self.again(&upstream)
+                        .map_err(|_reason| Refusal::UpstreamFailed {
+                            detail,
+                            outcome: self.trail.outcome(),
+                        })?;
+                }
+            }
+            if detours > DETOURS {
+                return Err(self.refused(NONE_WAIT));
+            }
+        }
+    }
+
+    /// The refusal of a request that could not be placed, as true as earlier attempts allow.
+    fn refused(&self, after: Span) -> Refusal {
+        self.trail.told(Refusal::NoUpstream {
+            service: self.service.clone(),
+            after,
+        })
+    }
+
+    fn place(&self) -> Result<(Placement, SocketAddr, Vec<SocketAddr>), Refusal> {
+        let service = self
+            .directory
+            .service(&self.service)
+            .ok_or_else(|| self.refused(NONE_WAIT))?;
+        let demand = Demand {
+            prompt: self.ask.prompt,
+            answer: self.ask.answer,
+            patience: self.left(),
+            avoid: self.avoid.clone(),
+        };
+        let now = self.state.now();
+        let policy = &self.state.settings.placing;
+        let mut fleet = self.state.fleet();
+        let placed = fleet.place(service, &demand, policy, now, &mut rand::rng());
+        let placement = placed.map_err(|overload| match overload {
+            Overload::None => self.refused(NONE_WAIT),
+            Overload::Full(wait) => self.trail.told(Refusal::QueueFull {
+                service: self.service.clone(),
+                after: Span::new(wait),
+            }),
+            Overload::TooLong => self.trail.told(Refusal::QueueFull {
+                service: self.service.clone(),
+                after: NONE_WAIT,
+            }),
+        })?;
+        let address = |id: &UpstreamId| fleet.get(id).map(|one| one.address);
+        let first = address(&placement.first).ok_or_else(|| self.refused(NONE_WAIT))?;
+        let helpers = placement
+            .helpers
+            .iter()
+            .filter_map(|(id, _)| address(id))
+            .collect();
+        drop(fleet);
+        Ok((placement, first, helpers))
+    }
+
+    fn hold(&self, placement: &Placement) -> Held<D> {
+        let now = self.state.now();
+        let mut fleet = self.state.fleet();
+        let first = (&placement.first, placement.cost);
+        let works = placement
+            .helpers
+            .iter()
+            .map(|(id, cost)| (id, *cost))
+            .chain([first])
+            .map(|(id, cost): (&UpstreamId, Cost)| fleet.begin(id, cost, now))
+            .collect();
+        drop(fleet);
+        self.state.changed.notify_one();
+        Held {
+            state: Arc::clone(&self.state),
+            works,
+        }
+    }
+
+    async fn exchange(
+        &mut self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        helpers: Vec<SocketAddr>,
+        held: Held<D>,
+        resume: Option<u64>,
+    ) -> Result<Live<D>, Miss> {
+        // A kept connection may be closed by the other side at any moment, which nothing proves afterwards.
+        let fresh = self.route.repeat == Repeat::Once;
+        let now = self.state.now();
+        let link = self.state.pool.get(address, fresh, now).await;
+        let Link { mut sender, fresh } = link.map_err(Miss::Unsent)?;
+        let left = self.left();
+        if left < LEAST_TIME {
+            return Err(Miss::Late);
+        }
+        // Waiting for the connection took time in which both may have changed.
+        if !self.state.fleet().serves(upstream) || !self.state.trusted() {
+            return Err(Miss::Unsent("it left meanwhile".to_owned()));
+        }
+        let request = self.request(upstream, left, &helpers, resume);
+        self.trail.on_evidence(Evidence::Leaving);
+        self.attempts += 1;
+        let silence = self.silence();
+        info!(
+            event = "send",
+            request = self.name(),
+            upstream = %upstream,
+            attempt = self.attempts,
+            helpers = helpers.len(),
+            fresh,
+            left_ms = left.as_millis() as u64,
+        );
+        let sent = tokio::select! {
+            sent = sender.try_send_request(request) => sent,
+            () = self.state.timers.after(silence) => {
+                let detail = format!("silent for {}", Span::new(silence));
+                return Err(if silence >= left { Miss::Late } else { Miss::Lost(Fault::Silent, detail) });
+            }
+        };
+        let response = match sent {
+            Ok(response) => response,
+            Err(mut fault) => {
+                let unsent = fault.take_message().is_some();
+                let detail = fault.into_error().to_string();
+                if unsent {
+                    self.trail.on_evidence(Evidence::Unsent);
+                    self.attempts -= 1;
+                    return Err(Miss::Unsent(detail));
+                }
+                return Err(Miss::Lost(Fault::Broken, detail));
+            }
+        };
+        let verdict =
+            self.state
+                .dialect
+                .verdict(response.status(), response.headers(), &self.ask.id);
+        match verdict {
+            Verdict::Answer => {
+                self.trail.on_evidence(Evidence::Answered);
+                Ok(Live {
+                    response,
+                    upstream: upstream.clone(),
+                    address,
+                    sender,
+                    held,
+                })
+            }
+            Verdict::NotRun => {
+                self.trail.on_evidence(Evidence::Refused);
+                Err(Miss::Refused)
+            }
+            Verdict::Moved => {
+                self.trail.on_evidence(Evidence::Refused);
+                Err(Miss::Moved)
+            }
+            Verdict::Foreign => {
+                let detail = format!("no answer to this request: status {}", response.status());
+                Err(Miss::Lost(Fault::Broken, detail))
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        upstream: &UpstreamId,
+        time: Duration,
+        helpers: &[SocketAddr],
+        resume: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let dispatch = Dispatch {
+            upstream,
+            time,
+            customer: self.customer.as_ref().map(|customer| &customer.name),
+            helpers: helpers.to_vec(),
+            urgency: None,
+            resume,
+        };
+        let mut headers = self.head.headers.clone();
+        answer::end_to_end(&mut headers);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self.state.dialect.dispatch(&headers, &dispatch);
+        request
+    }
+
+    /// How long an upstream may be silent before another is tried.
+    fn silence(&self) -> Duration {
+        let left = self.left();
+        if !self.repeats() || self.attempts >= self.route.attempts {
+            return left;
+        }
+        let objective = self.route.objective;
+        let patience = match self.route.delivery {
+            Delivery::Whole => objective * 3 / 2,
+            Delivery::Events { .. } => (objective * SILENCE).max(LEAST_SILENCE),
+        };
+        patience.min(left)
+    }
+
+    /// Notes that an upstream failed this request.
+    pub(super) fn fail(
+        &mut self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        fault: Fault,
+        detail: &str,
+    ) {
+        let now = self.state.now();
+        self.state.fleet().on_fault(upstream, fault, now);
+        if fault != Fault::Refused {
+            self.state.pool.forget(address);
+        }
+        if !self.avoid.contains(upstream) {
+            self.avoid.push(upstream.clone());
+        }
+        info!(
+            event = "fault",
+            request = self.name(),
+            upstream = %upstream,
+            fault = ?fault,
+            detail,
+            outcome = %self.trail.outcome(),
+        );
+    }
+
+    /// Decides on another attempt, and takes it off the service's budget.
+    pub(super) fn again(&self, upstream: &UpstreamId) -> Result<(), Reason> {
+        let policy = retry::Policy {
+            attempts: self.route.attempts,
+            ..self.state.settings.retries.clone()
+        };
+        let failure = Failure {
+            idempotent: self.repeats(),
+            outcome: self.trail.outcome(),
+            sends: self.attempts,
+            delivered: false,
+            attempts: self.attempts,
+            suspects: self.avoid.clone(),
+            wait: None,
+            needs: Span::new(LEAST_TIME),
+            deadline: self.deadline,
+        };
+        let now = self.state.now();
+        let decision = self.state.with_budget(&self.service, |budget| {
+            retry::decide(&policy, budget, &failure, now, &mut rand::rng())
+        });
+        match decision {
+            Decision::Retry { .. } => Ok(()),
+            Decision::GiveUp { reason } => {
+                info!(
+                    event = "give-up",
+                    request = self.name(),
+                    upstream = %upstream,
+                    reason = ?reason,
+                    attempts = self.attempts,
+                );
+                Err(reason)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -0,0 +1,117 @@
+//! What an adapter brings: the words of callers, upstreams and the store.
+
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use catkinusher_core::directory::Directory;
+use catkinusher_core::fleet::Upstream;
+use catkinusher_core::id::{CustomerId, UpstreamId};
+use catkinusher_core::units::Tokens;
+use catkinusher_platform::form::Form;
+use http::{HeaderMap, HeaderValue, StatusCode};
+
+/// What a caller's head says, in the project's words.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// The name of the request, which upstreams echo.
+    pub id: HeaderValue,
+    /// The key that the caller presents.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The length of the prompt.
+    pub prompt: Tokens,
+    /// The most tokens that the answer may have.
+    pub answer: Tokens,
+    /// The event after which a stream goes on.
+    pub resume: Option<u64>,
+}
+
+/// Why a head cannot be served.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Malformed {
+    /// What is wrong with it.
+    pub detail: String,
+}
+
+/// What an upstream is told beside the caller's own head.
+#[derive(Debug, Clone)]
+pub struct Dispatch<'a> {
+    /// The upstream that is meant; any other must refuse.
+    pub upstream: &'a UpstreamId,
+    /// How long the upstream may work.
+    pub time: Duration,
+    /// The customer that asks.
+    pub customer: Option<&'a CustomerId>,
+    /// The engines that read parts of the prompt.
+    pub helpers: Vec<SocketAddr>,
+    /// The rank among what waits at the upstream, 0 first.
+    pub urgency: Option<u8>,
+    /// The event after which a stream goes on.
+    pub resume: Option<u64>,
+}
+
+/// What the head of an upstream's answer proves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It answers the request, well or badly.
+    Answer,
+    /// The upstream did not run the request.
+    NotRun,
+    /// Another upstream has the address, and did not run the request.
+    Moved,
+    /// It is no answer to this request.
+    Foreign,
+}
+
+/// How callers and upstreams spell what the gateway handles.
+pub trait Dialect: Debug + Clone + Send + Sync + 'static {
+    /// Reads a caller's head.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] for a head that cannot be understood.
+    fn ask(&self, headers: &HeaderMap) -> Result<Ask, Malformed>;
+
+    /// Makes the head for an upstream out of the caller's.
+    fn dispatch(&self, headers: &HeaderMap, dispatch: &Dispatch<'_>) -> HeaderMap;
+
+    /// Judges the head of an upstream's answer to the request `id`.
+    fn verdict(&self, status: StatusCode, headers: &HeaderMap, id: &HeaderValue) -> Verdict;
+
+    /// Writes how long a refused caller should wait.
+    fn wait(&self, headers: &mut HeaderMap, wait: Duration);
+}
+
+/// How the store's objects read.
+pub trait Source: Debug + Clone + Send + Sync + 'static {
+    /// How the store's calls are spelled.
+    type Form: Form;
+
+    /// The kind and the name of the object that holds the configuration.
+    const CONFIGURATION: (&'static str, &'static str);
+
+    /// The kind whose objects are upstreams.
+    const UPSTREAMS: &'static str;
+
+    /// The kind whose objects name drained data centres.
+    const DRAINED: &'static str;
+
+    /// The kind in which nodes register.
+    const NODES: &'static str;
+
+    /// Reads the configuration.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with it.
+    fn directory(&self, value: serde_json::Value) -> Result<Directory, String>;
+
+    /// Reads one upstream.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with it; such an entry names no upstream to use.
+    fn upstream(&self, name: &str, value: serde_json::Value) -> Result<Upstream, String>;
+}
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/front.rs
@@ -0,0 +1,138 @@
+//! The callers' side: connections, and what the balancer and operators ask.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::task::TaskTracker;
+use tracing::{debug, warn};
+
+use super::dialect::Dialect;
+use super::handle;
+use super::state::State;
+
+/// How long accepting rests after the system refused a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The least head buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER: usize = 8192;
+
+/// Serves callers until the listener closes, then waits for the open connections.
+pub(super) async fn serve<D>(state: Arc<State<D>>, listener: TcpListener)
+where
+    D: Dialect,
+{
+    let tasks = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = state.closing.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, from)) => {
+                tasks.spawn(connection(Arc::clone(&state), stream, from));
+            }
+            Err(error) => {
+                warn!("front: cannot accept: {error}");
+                state.timers.after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    tasks.close();
+    tasks.wait().await;
+}
+
+async fn connection<D>(state: Arc<State<D>>, stream: TcpStream, from: SocketAddr)
+where
+    D: Dialect,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!("front: {from} is gone already: {error}");
+        return;
+    }
+    let directory = state.view().directory.clone();
+    let limits = directory
+        .map(|directory| *directory.limits())
+        .unwrap_or_default();
+    let mut server = http1::Builder::new();
+    server
+        .timer(TokioTimer::new())
+        // The library's clock runs while a connection rests, so the longer bound holds for both.
+        .header_read_timeout(limits.idle_time.max(limits.head_time))
+        .max_buf_size(limits.head.max(LEAST_BUFFER))
+        .auto_date_header(false)
+        .half_close(false);
+    let service = service_fn(|request| {
+        let state = Arc::clone(&state);
+        async move {
+            let mut response = handle::handle(Arc::clone(&state), request).await;
+            if state.stopping.is_cancelled() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let serving = server.serve_connection(TokioIo::new(stream), service);
+    let mut serving = std::pin::pin!(serving);
+    let ended = tokio::select! {
+        ended = serving.as_mut() => ended,
+        () = state.closing.cancelled() => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!("front: connection from {from} ended: {error}");
+    }
+}
+
+/// Answers the balancer's question and serves the counters.
+pub(super) fn health<D>(state: Arc<State<D>>, listener: TcpListener)
+where
+    D: Dialect,
+{
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _from)) = listener.accept().await else {
+                state.timers.after(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let state = Arc::clone(&state);
+            tokio::spawn(async move {
+                let service = service_fn(|request| {
+                    let answer = answer(&state, &request);
+                    async move { Ok::<_, Infallible>(answer) }
+                });
+                let serving = http1::Builder::new()
+                    .auto_date_header(false)
+                    .serve_connection(TokioIo::new(stream), service);
+                if let Err(error) = serving.await {
+                    debug!("front: a health connection ended: {error}");
+                }
+            });
+        }
+    });
+}
+
+fn answer<D>(state: &State<D>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, text) = match request.uri().path() {
+        "/metrics" => (StatusCode::OK, state.counters()),
+        _ if state.is_ready() => (StatusCode::OK, String::new()),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -0,0 +1,306 @@
+//! One request's way from its head to its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use catkinusher_core::directory::{Customer, Directory, Repeat, Route};
+use catkinusher_core::id::{ServiceId, UpstreamId};
+use catkinusher_core::outcome::{Refusal, Trail};
+use catkinusher_core::time::Time;
+use catkinusher_core::units::{self, Span};
+use http::header::{CONTENT_LENGTH, HOST};
+use http::request::Parts;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tracing::info;
+
+use super::answer::{self, Content};
+use super::attempt::Live;
+use super::dialect::{Ask, Dialect};
+use super::relay;
+use super::state::State;
+
+/// When a node that has no current configuration should be tried again; another may have one.
+const AWAY_WAIT: Span = Span::from_millis(200);
+
+/// The largest whole answer that is held, in bytes.
+const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
+
+/// A request under way.
+#[derive(Debug)]
+pub(super) struct Job<D>
+where
+    D: Dialect,
+{
+    pub(super) state: Arc<State<D>>,
+    pub(super) directory: Arc<Directory>,
+    pub(super) route: Arc<Route>,
+    pub(super) customer: Option<Arc<Customer>>,
+    pub(super) service: ServiceId,
+    pub(super) ask: Ask,
+    pub(super) head: Parts,
+    pub(super) body: Bytes,
+    pub(super) received: Time,
+    pub(super) deadline: Time,
+    pub(super) trail: Trail,
+    pub(super) attempts: u32,
+    pub(super) avoid: Vec<UpstreamId>,
+}
+
+impl<D> Drop for Job<D>
+where
+    D: Dialect,
+{
+    fn drop(&mut self) {
+        self.state.ended();
+    }
+}
+
+impl<D> Job<D>
+where
+    D: Dialect,
+{
+    /// The time left until the deadline.
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.since(self.state.now())
+    }
+
+    /// Whether the request may run more than once.
+    pub(super) fn repeats(&self) -> bool {
+        self.route.repeat == Repeat::Safe
+    }
+
+    /// The name of the request, for logs.
+    pub(super) fn name(&self) -> &str {
+        self.ask.id.to_str().unwrap_or("-")
+    }
+
+    /// The refusal once the deadline has passed.
+    pub(super) fn late(&self) -> Refusal {
+        Refusal::DeadlinePassed {
+            limit: Span::new(self.deadline.since(self.received)),
+            outcome: self.trail.outcome(),
+        }
+    }
+}
+
+/// Answers one request.
+pub(super) async fn handle<D>(state: Arc<State<D>>, request: Request<Incoming>) -> Response<Content>
+where
+    D: Dialect,
+{
+    let received = state.now();
+    let (head, body) = request.into_parts();
+    let job = match admit(&state, head, body, received).await {
+        Ok(job) => job,
+        Err((refusal, id)) => {
+            note(&state, &id, &refusal, received);
+            return answer::refusal(&state.dialect, &refusal);
+        }
+    };
+    serve(job).await
+}
+
+/// Finds out what a request is and whether it may be served, and reads its body.
+async fn admit<D>(
+    state: &Arc<State<D>>,
+    head: Parts,
+    body: Incoming,
+    received: Time,
+) -> Result<Job<D>, (Refusal, String)>
+where
+    D: Dialect,
+{
+    let ask = state.dialect.ask(&head.headers).map_err(|fault| {
+        let detail = fault.detail;
+        (Refusal::BadHead { detail }, String::new())
+    })?;
+    let id = ask.id.to_str().unwrap_or("-").to_owned();
+    let fail = |refusal| (refusal, id.clone());
+    let trusted = state.trusted();
+    let directory = state.view().directory.clone();
+    let away = || Refusal::NoConfiguration { after: AWAY_WAIT };
+    let directory = directory
+        .filter(|_| trusted)
+        .ok_or_else(|| fail(away()))?;
+    let host = head
+        .headers
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default();
+    let route = directory
+        .route(host, head.uri.path())
+        .ok_or_else(|| fail(Refusal::UnknownRoute))?;
+    let customer = match &ask.key {
+        _ if route.public || !directory.keyed() => None,
+        Some(key) => Some(
+            directory
+                .customer(key)
+                .ok_or_else(|| fail(Refusal::Unauthorised))?,
+        ),
+        None => return Err(fail(Refusal::Unauthorised)),
+    };
+    let service = route
+        .service(&mut rand::rng())
+        .ok_or_else(|| fail(Refusal::UnknownRoute))?
+        .clone();
+    let time = ask.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let limit = directory.limits().body;
+    let job = Job {
+        route: Arc::clone(route),
+        customer: customer.cloned(),
+        service,
+        received,
+        deadline: received + time,
+        trail: Trail::new(),
+        attempts: 0,
+        avoid: Vec::new(),
+        body: Bytes::new(),
+        state: Arc::clone(state),
+        directory,
+        ask,
+        head,
+    };
+    state.opened();
+    let mut job = job;
+    job.body = read(&job, body, limit).await.map_err(fail)?;
+    Ok(job)
+}
+
+async fn read<D>(job: &Job<D>, body: Incoming, limit: usize) -> Result<Bytes, Refusal>
+where
+    D: Dialect,
+{
+    let over = || Refusal::BodyTooLarge {
+        limit: units::Bytes::new(limit as u64),
+    };
+    let announced = job
+        .head
+        .headers
+        .get(CONTENT_LENGTH)
+        .and_then(|length| length.to_str().ok())
+        .and_then(|length| length.parse::<usize>().ok());
+    if announced.is_some_and(|length| length > limit) {
+        return Err(over());
+    }
+    let whole = Limited::new(body, limit).collect();
+    tokio::select! {
+        whole = whole => match whole {
+            Ok(whole) => Ok(whole.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => Err(over()),
+            Err(error) => Err(Refusal::BadBody { detail: error.to_string() }),
+        },
+        () = job.state.timers.at(job.deadline) => Err(Refusal::TooSlow {
+            limit: Span::new(job.deadline.since(job.received)),
+        }),
+    }
+}
+
+async fn serve<D>(mut job: Job<D>) -> Response<Content>
+where
+    D: Dialect,
+{
+    let state = Arc::clone(&job.state);
+    loop {
+        let live = match job.send(job.ask.resume).await {
+            Ok(live) => live,
+            Err(refusal) => {
+                note(&state, job.name(), &refusal, job.received);
+                return answer::refusal(&state.dialect, &refusal);
+            }
+        };
+        if job.route.streams() && live.response.status() == StatusCode::OK {
+            return relay::start(job, live);
+        }
+        match job.collect(live).await {
+            Ok((status, headers, body)) => {
+                job.told(status);
+                return answer::whole(status, headers, body);
+            }
+            Err(Some(refusal)) => {
+                note(&state, job.name(), &refusal, job.received);
+                return answer::refusal(&state.dialect, &refusal);
+            }
+            // Another attempt may still succeed.
+            Err(None) => {}
+        }
+    }
+}
+
+impl<D> Job<D>
+where
+    D: Dialect,
+{
+    /// Reads a whole answer, or decides on another attempt.
+    async fn collect(
+        &mut self,
+        live: Live<D>,
+    ) -> Result<(StatusCode, HeaderMap, Bytes), Option<Refusal>> {
+        let Live {
+            response,
+            upstream,
+            address,
+            sender,
+            held,
+        } = live;
+        let (head, body) = response.into_parts();
+        let whole = Limited::new(body, ANSWER_LIMIT).collect();
+        let whole = tokio::select! {
+            whole = whole => whole.map_err(|error| error.to_string()),
+            () = self.state.timers.at(self.deadline) => return Err(Some(self.late())),
+        };
+        drop(held);
+        match whole {
+            Ok(whole) => {
+                let failed = head.status.is_server_error();
+                self.state.fleet().on_success(&upstream);
+                let life = answer::kept(&head.headers);
+                self.state.keep(address, sender, life);
+                if failed && self.repeats() && self.again(&upstream).is_ok() {
+                    return Err(None);
+                }
+                let mut headers = head.headers;
+                answer::end_to_end(&mut headers);
+                Ok((head.status, headers, whole.to_bytes()))
+            }
+            Err(detail) => {
+                self.fail(&upstream, address, catkinusher_core::fleet::Fault::Broken, &detail);
+                match self.again(&upstream) {
+                    Ok(()) => Err(None),
+                    Err(_reason) => Err(Some(Refusal::AnswerBroken {
+                        detail,
+                        outcome: self.trail.outcome(),
+                    })),
+                }
+            }
+        }
+    }
+
+    /// Logs that the caller got an upstream's answer.
+    pub(super) fn told(&self, status: StatusCode) {
+        self.state.count("answers");
+        info!(
+            event = "answer",
+            request = self.name(),
+            route = &*self.route.name,
+            status = status.as_u16(),
+            attempts = self.attempts,
+            ms = self.state.now().since(self.received).as_millis() as u64,
+        );
+    }
+}
+
+/// Logs why a request is refused or has failed.
+pub(super) fn note<D>(state: &State<D>, id: &str, refusal: &Refusal, received: Time) {
+    state.count(refusal.slug());
+    info!(
+        event = "refusal",
+        request = id,
+        reason = refusal.slug(),
+        detail = %refusal,
+        outcome = %refusal.outcome(),
+        ms = state.now().since(received).as_millis() as u64,
+    );
+}
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -0,0 +1,102 @@
+//! Serving through a platform that brings configuration, upstreams and callers.
+//!
+//! Where a platform lists the upstreams and keeps the configuration, a node
+//! needs no owner, no claims and no membership: it watches the store, decides
+//! alone with the core's [`Fleet`](catkinusher_core::fleet::Fleet) and tells
+//! its peers what it has under way. How callers and upstreams spell things is
+//! a [`Dialect`], and how the store's objects read is a [`Source`]; both belong
+//! to an adapter. [docs/design/platform.md](../../../../docs/design/platform.md)
+//! tells what was weighed.
+
+pub mod dialect;
+pub mod settings;
+
+mod answer;
+mod attempt;
+mod clock;
+mod front;
+mod handle;
+mod peers;
+mod pool;
+mod relay;
+mod state;
+mod stop;
+mod watch;
+
+pub use self::dialect::{Ask, Dialect, Dispatch, Malformed, Source, Verdict};
+pub use self::settings::Settings;
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use catkinusher_platform::Store;
+use tokio::net::TcpListener;
+use tracing::info;
+
+use self::state::State;
+
+/// A node that serves through a platform.
+#[derive(Debug)]
+pub struct Gateway<D, S>
+where
+    S: Source,
+{
+    state: Arc<State<D>>,
+    store: Store<S::Form>,
+    source: S,
+}
+
+impl<D, S> Gateway<D, S>
+where
+    D: Dialect,
+    S: Source,
+{
+    /// A node that speaks `dialect` and reads its configuration from `store`.
+    #[must_use]
+    pub fn new(settings: Settings, dialect: D, source: S, store: Store<S::Form>) -> Self {
+        Self {
+            state: Arc::new(State::new(settings, dialect)),
+            store,
+            source,
+        }
+    }
+
+    /// Serves until a stop is asked for and what is under way has ended.
+    ///
+    /// # Errors
+    ///
+    /// If a listener cannot be opened or a signal cannot be listened for.
+    pub async fn run(self) -> anyhow::Result<()> {
+        let settings = &self.state.settings;
+        let callers = bind(settings.callers).await?;
+        let ready = bind(settings.ready).await?;
+        info!(
+            event = "start",
+            node = %settings.node,
+            data_centre = %settings.data_centre,
+            callers = %settings.callers,
+            version = env!("CARGO_PKG_VERSION"),
+        );
+        let metrics = match settings.metrics {
+            Some(address) => Some(bind(address).await?),
+            None => None,
+        };
+        front::health(Arc::clone(&self.state), ready);
+        if let Some(listener) = metrics {
+            front::health(Arc::clone(&self.state), listener);
+        }
+        watch::start(&self.state, &self.store, &self.source);
+        peers::start(&self.state, &self.store, &self.source).await?;
+        let serving = tokio::spawn(front::serve(Arc::clone(&self.state), callers));
+        stop::wait(&self.state, serving).await?;
+        peers::leave(&self.state, &self.store, &self.source).await;
+        info!(event = "stop", outcome = "ended");
+        Ok(())
+    }
+}
+
+async fn bind(address: std::net::SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen on {address}"))
+}
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/peers.rs
@@ -0,0 +1,221 @@
+//! Telling peers what this node has under way.
+//!
+//! Each report is whole and replaces the one before, so that a lost one costs
+//! freshness only. Reports go as datagrams: a connection that goes silent would
+//! withhold them just when they matter.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use catkinusher_core::fleet::Load;
+use catkinusher_core::rendezvous::Salt;
+use catkinusher_platform::{Priority, Store};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tracing::{debug, info, warn};
+
+use super::dialect::{Dialect, Source};
+use super::state::State;
+
+const SALT: Salt = Salt::new(0x7065_6572);
+
+/// How long changes are gathered before a report; far below the length of a pass.
+const GATHER: Duration = Duration::from_millis(12);
+
+/// The longest time without a report, a few of which may be lost before a peer counts as gone.
+const RHYTHM: Duration = Duration::from_millis(800);
+
+/// How often the list of peers is read again; it changes with machines only.
+const LIST_PERIOD: Duration = Duration::from_secs(20);
+
+/// The pause after a registration or a list that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+
+/// The largest report, well within one datagram.
+const REPORT_LIMIT: usize = 8 * 1024;
+
+/// A node as it is registered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Registered {
+    address: SocketAddr,
+}
+
+/// What one node has under way.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Report {
+    node: u64,
+    life: u64,
+    number: u64,
+    loads: Vec<(u32, Load)>,
+}
+
+/// Starts telling and hearing.
+///
+/// # Errors
+///
+/// If the socket cannot be opened.
+pub(super) async fn start<D, S>(
+    state: &Arc<State<D>>,
+    store: &Store<S::Form>,
+    _source: &S,
+) -> anyhow::Result<()>
+where
+    D: Dialect,
+    S: Source,
+{
+    let address = state.settings.peers;
+    let socket = UdpSocket::bind(address)
+        .await
+        .with_context(|| format!("cannot listen for peers on {address}"))?;
+    let socket = Arc::new(socket);
+    let (sender, receiver) = tokio::sync::watch::channel(Vec::new());
+    tokio::spawn(register::<D, S>(
+        Arc::clone(state),
+        store.at(Priority::Status),
+        sender,
+    ));
+    tokio::spawn(tell(Arc::clone(state), Arc::clone(&socket), receiver));
+    tokio::spawn(hear(Arc::clone(state), socket));
+    Ok(())
+}
+
+/// Takes this node off the list of peers.
+pub(super) async fn leave<D, S>(state: &Arc<State<D>>, store: &Store<S::Form>, _source: &S)
+where
+    D: Dialect,
+    S: Source,
+{
+    let name = state.settings.node.as_str();
+    let store = store.at(Priority::Status);
+    let removed = store.delete(S::NODES, name, None);
+    match tokio::time::timeout(RETRY_PAUSE, removed).await {
+        Ok(Ok(_there)) => {}
+        Ok(Err(error)) => warn!(event = "peers", outcome = "not-removed", %error),
+        Err(_elapsed) => warn!(event = "peers", outcome = "not-removed", error = "no answer"),
+    }
+}
+
+async fn register<D, S>(
+    state: Arc<State<D>>,
+    store: Store<S::Form>,
+    peers: tokio::sync::watch::Sender<Vec<SocketAddr>>,
+) where
+    D: Dialect,
+    S: Source,
+{
+    let own = Registered {
+        address: state.settings.peers,
+    };
+    let name = state.settings.node.as_str().to_owned();
+    let mut registered = false;
+    loop {
+        let listed = store.list::<Registered>(S::NODES, "").await;
+        let listing = match listed {
+            Ok(listing) => listing,
+            Err(error) => {
+                debug!("peers: cannot list: {error}");
+                state.timers.after(RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        let mut stands = None;
+        let mut addresses = Vec::new();
+        for object in listing.objects {
+            if object.name == name {
+                stands = Some((object.version, object.value));
+            } else {
+                addresses.push(object.value.address);
+            }
+        }
+        if !registered && stands.map(|(_, value)| value) != Some(own) {
+            let written = match stands {
+                Some((version, _)) => store.update(S::NODES, &name, &own, version).await,
+                None => store.create(S::NODES, &name, &own).await,
+            };
+            if let Err(error) = written {
+                debug!("peers: cannot register: {error}");
+                state.timers.after(RETRY_PAUSE).await;
+                continue;
+            }
+        }
+        registered = true;
+        peers.send_if_modified(|known| {
+            let changed = *known != addresses;
+            if changed {
+                info!(event = "peers", listed = addresses.len());
+                known.clone_from(&addresses);
+            }
+            changed
+        });
+        state.pool.sweep(state.now());
+        state.timers.after(LIST_PERIOD).await;
+    }
+}
+
+async fn tell<D>(
+    state: Arc<State<D>>,
+    socket: Arc<UdpSocket>,
+    peers: tokio::sync::watch::Receiver<Vec<SocketAddr>>,
+) where
+    D: Dialect,
+{
+    let mut report = Report {
+        node: SALT.score("node", state.settings.node.as_str()),
+        life: rand::random(),
+        number: 0,
+        loads: Vec::new(),
+    };
+    loop {
+        tokio::select! {
+            () = state.changed.notified() => state.timers.after(GATHER).await,
+            () = state.timers.after(RHYTHM) => {}
+        }
+        report.number += 1;
+        report.loads = state.fleet().loads().into_iter().collect();
+        let mut bytes = Vec::new();
+        if let Err(error) = ciborium::into_writer(&report, &mut bytes) {
+            warn!("peers: a report has no form: {error}");
+            continue;
+        }
+        let known = peers.borrow().clone();
+        for peer in known {
+            if let Err(error) = socket.try_send_to(&bytes, peer) {
+                debug!("peers: cannot tell {peer}: {error}");
+            }
+        }
+    }
+}
+
+async fn hear<D>(state: Arc<State<D>>, socket: Arc<UdpSocket>)
+where
+    D: Dialect,
+{
+    let mut bytes = vec![0; REPORT_LIMIT];
+    let mut latest = HashMap::<u64, (u64, u64)>::new();
+    loop {
+        let length = match socket.recv_from(&mut bytes).await {
+            Ok((length, _from)) => length,
+            Err(error) => {
+                debug!("peers: cannot hear: {error}");
+                state.timers.after(GATHER).await;
+                continue;
+            }
+        };
+        let Ok(report) = ciborium::from_reader::<Report, _>(&bytes[..length]) else {
+            state.count("peer_reports_bad");
+            continue;
+        };
+        let seen = latest.entry(report.node).or_default();
+        // Datagrams may overtake each other; a new life counts from anew.
+        if seen.0 == report.life && seen.1 >= report.number {
+            continue;
+        }
+        *seen = (report.life, report.number);
+        let now = state.now();
+        let loads = report.loads.into_iter().collect();
+        state.fleet().on_loads(report.node, loads, now);
+    }
+}
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -0,0 +1,195 @@
+//! Passing a stream on, and going on elsewhere when its upstream is lost.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use catkinusher_core::directory::Delivery;
+use catkinusher_core::events::Events;
+use catkinusher_core::fleet::Fault;
+use catkinusher_core::time::Time;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+use tracing::info;
+
+use super::answer::{self, Broken, Content};
+use super::attempt::Live;
+use super::dialect::Dialect;
+use super::handle::Job;
+
+/// Events that may wait for a slow caller before its upstream is held up.
+const QUEUE: usize = 16;
+
+/// The multiple of the longest pause on time after which a stream counts as lost.
+const PAUSES: u32 = 4;
+
+/// The least pause after which a stream counts as lost.
+const LEAST_PAUSE: Duration = Duration::from_millis(1000);
+
+/// How the stream of one upstream ended.
+enum End {
+    Whole,
+    Left,
+    Late,
+    Lost(Fault, String),
+}
+
+/// Answers with a stream that is passed on as it comes.
+pub(super) fn start<D>(job: Job<D>, live: Live<D>) -> Response<Content>
+where
+    D: Dialect,
+{
+    let (events, receiver) = mpsc::channel(QUEUE);
+    let status = live.response.status();
+    let mut headers = live.response.headers().clone();
+    answer::streamed(&mut headers);
+    tokio::spawn(run(job, live, events));
+    let mut response = Response::new(Content::Events(receiver));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+async fn run<D>(mut job: Job<D>, mut live: Live<D>, caller: mpsc::Sender<Result<Bytes, Broken>>)
+where
+    D: Dialect,
+{
+    let mut events = Events::after(job.ask.resume);
+    let mut first = None;
+    let outcome = loop {
+        let upstream = live.upstream.clone();
+        let address = live.address;
+        let head = answer::kept(live.response.headers());
+        let end = pass(&job, &mut live, &mut events, &caller, &mut first).await;
+        match end {
+            End::Whole => {
+                job.state.fleet().on_success(&upstream);
+                job.state.keep(address, live.sender, head);
+                break "whole";
+            }
+            End::Left => break "caller-left",
+            End::Late => {
+                let _left = caller.send(Err(Broken)).await;
+                break "deadline";
+            }
+            End::Lost(fault, detail) => {
+                drop(live);
+                job.fail(&upstream, address, fault, &detail);
+                events.cut();
+                let next = match job.again(&upstream) {
+                    Ok(()) => tokio::select! {
+                        next = job.send(events.last().or(job.ask.resume)) => next.ok(),
+                        () = caller.closed() => break "caller-left",
+                    },
+                    Err(_reason) => None,
+                };
+                match next {
+                    Some(next) if next.response.status() == http::StatusCode::OK => live = next,
+                    _ => {
+                        let _left = caller.send(Err(Broken)).await;
+                        break "broken";
+                    }
+                }
+            }
+        }
+    };
+    job.state.count(match outcome {
+        "whole" => "streams_whole",
+        "caller-left" => "streams_left",
+        "deadline" => "streams_late",
+        _ => "streams_broken",
+    });
+    let since = |at: Time| at.since(job.received).as_millis() as u64;
+    info!(
+        event = "stream",
+        request = job.name(),
+        route = &*job.route.name,
+        outcome,
+        attempts = job.attempts,
+        prompt = job.ask.prompt.get(),
+        last = events.last(),
+        first_ms = first.map(since),
+        ms = since(job.state.now()),
+    );
+}
+
+async fn pass<D>(
+    job: &Job<D>,
+    live: &mut Live<D>,
+    events: &mut Events,
+    caller: &mpsc::Sender<Result<Bytes, Broken>>,
+    first: &mut Option<Time>,
+) -> End
+where
+    D: Dialect,
+{
+    let timers = job.state.timers.clone();
+    let pause = pause(job);
+    let mut heard = job.state.now();
+    let mut alarm = std::pin::pin!(timers.at((heard + pause).min(job.deadline)));
+    loop {
+        tokio::select! {
+            frame = next(&mut live.response) => match frame {
+                Some(Ok(bytes)) => {
+                    heard = job.state.now();
+                    let whole = match events.push(&bytes) {
+                        Ok(whole) => whole,
+                        Err(fault) => return End::Lost(Fault::Broken, fault.to_string()),
+                    };
+                    if whole.is_empty() {
+                        continue;
+                    }
+                    if first.is_none() {
+                        *first = Some(heard);
+                    }
+                    live.held.on_read();
+                    if caller.send(Ok(whole.into())).await.is_err() {
+                        return End::Left;
+                    }
+                }
+                Some(Err(error)) => return End::Lost(Fault::Broken, error.to_string()),
+                None if events.is_whole() => return End::Whole,
+                None => return End::Lost(Fault::Broken, "ended within an event".to_owned()),
+            },
+            () = caller.closed() => return End::Left,
+            () = alarm.as_mut() => {
+                let now = job.state.now();
+                if now >= job.deadline {
+                    return End::Late;
+                }
+                if now >= heard + pause {
+                    return End::Lost(Fault::Silent, "silent for too long".to_owned());
+                }
+                alarm.set(timers.at((heard + pause).min(job.deadline)));
+            }
+        }
+    }
+}
+
+async fn next(response: &mut Response<Incoming>) -> Option<Result<Bytes, hyper::Error>> {
+    loop {
+        match response.body_mut().frame().await? {
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    return Some(Ok(data));
+                }
+            }
+            Err(error) => return Some(Err(error)),
+        }
+    }
+}
+
+/// How long a stream may pause before it counts as lost.
+fn pause<D>(job: &Job<D>) -> Duration
+where
+    D: Dialect,
+{
+    if !job.repeats() {
+        return job.route.timeout;
+    }
+    match job.route.delivery {
+        Delivery::Events { pause: Some(pause) } => (pause * PAUSES).max(LEAST_PAUSE),
+        Delivery::Events { pause: None } | Delivery::Whole => job.route.timeout,
+    }
+}
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -0,0 +1,142 @@
+//! What all parts of a gateway share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use catkinusher_core::directory::Directory;
+use catkinusher_core::fleet::Fleet;
+use catkinusher_core::freshness::Freshness;
+use catkinusher_core::id::ServiceId;
+use catkinusher_core::retry::Budget;
+use catkinusher_core::time::Time;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use super::clock;
+use super::pool::Pool;
+use super::settings::Settings;
+use crate::timer::{Clock, Timers};
+
+/// What is known of the configuration, and since when.
+#[derive(Debug, Default)]
+pub(super) struct View {
+    pub(super) directory: Option<Arc<Directory>>,
+    pub(super) freshness: Freshness,
+    pub(super) listed: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct State<D> {
+    pub(super) settings: Settings,
+    pub(super) dialect: D,
+    pub(super) timers: Timers,
+    pub(super) pool: Pool,
+    pub(super) stopping: CancellationToken,
+    pub(super) closing: CancellationToken,
+    pub(super) changed: Notify,
+    view: Mutex<View>,
+    fleet: Mutex<Fleet>,
+    budgets: Mutex<BTreeMap<ServiceId, Budget>>,
+    counts: Mutex<BTreeMap<&'static str, u64>>,
+    ready: AtomicBool,
+    open: AtomicU64,
+}
+
+impl<D> State<D> {
+    pub(super) fn new(settings: Settings, dialect: D) -> Self {
+        let fleet = Fleet::new(settings.data_centre.clone());
+        Self {
+            settings,
+            dialect,
+            timers: Timers::start(Clock::start()),
+            pool: Pool::default(),
+            stopping: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            changed: Notify::new(),
+            view: Mutex::default(),
+            fleet: Mutex::new(fleet),
+            budgets: Mutex::default(),
+            counts: Mutex::default(),
+            ready: AtomicBool::new(false),
+            open: AtomicU64::new(0),
+        }
+    }
+
+    pub(super) fn now(&self) -> Time {
+        self.timers.now()
+    }
+
+    pub(super) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    pub(super) fn view(&self) -> MutexGuard<'_, View> {
+        lock(&self.view)
+    }
+
+    /// The budget of retries of a service.
+    pub(super) fn with_budget<T, F>(&self, service: &ServiceId, act: F) -> T
+    where
+        F: FnOnce(&mut Budget) -> T,
+    {
+        let mut budgets = lock(&self.budgets);
+        let policy = &self.settings.retries;
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(policy));
+        act(budget)
+    }
+
+    /// Whether what is known of keys may be acted on.
+    pub(super) fn trusted(&self) -> bool {
+        let now = clock::elapsed();
+        self.view().freshness.within(self.settings.trust, now)
+    }
+
+    /// Whether the balancer should send callers here.
+    pub(super) fn is_ready(&self) -> bool {
+        let now = clock::elapsed();
+        let view = self.view();
+        let ready = !self.stopping.is_cancelled()
+            && view.listed
+            && view.directory.is_some()
+            && view.freshness.within(self.settings.trust, now);
+        drop(view);
+        if self.ready.swap(ready, Ordering::Relaxed) != ready {
+            tracing::info!(event = "ready", ready);
+        }
+        ready
+    }
+
+    /// Counts one event under a fixed name.
+    pub(super) fn count(&self, name: &'static str) {
+        *lock(&self.counts).entry(name).or_default() += 1;
+    }
+
+    /// The counters in the usual text form.
+    pub(super) fn counters(&self) -> String {
+        let mut text = String::new();
+        for (name, count) in lock(&self.counts).iter() {
+            text.push_str(&format!("catkinusher_{name} {count}\n"));
+        }
+        text
+    }
+
+    pub(super) fn opened(&self) {
+        self.open.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn ended(&self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// The requests under way.
+    pub(super) fn under_way(&self) -> u64 {
+        self.open.load(Ordering::Relaxed)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/catkinusherd/src/lib.rs
+++ b/crates/catkinusherd/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod explain;
 pub mod forward;
 pub mod front;
+pub mod gateway;
 pub mod log;
 pub mod members;
 pub mod metrics;
--- a/crates/catkinusherd/src/log/mod.rs
+++ b/crates/catkinusherd/src/log/mod.rs
@@ -4,6 +4,7 @@
 //! `owner:`, `claim:`, `config:`, `member:`, `order:`, `front:`, `stop:`.
 
 use std::io::IsTerminal;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use tracing_subscriber::EnvFilter;
 
@@ -27,3 +28,55 @@
     };
     started.map_err(|error| anyhow::anyhow!("cannot start the log: {error}"))
 }
+
+/// Standard output that drops lines rather than wait for whoever reads it.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lossy;
+
+impl std::io::Write for Lossy {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        match rustix::io::write(rustix::stdio::stdout(), line) {
+            Ok(_written) => {}
+            // A reader that is gone or behind must not hold up requests.
+            Err(_full) => {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Lines that nobody took.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// The log lines dropped so far because standard output was full.
+#[must_use]
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Sets up the process's log as JSON lines on standard output, without ever waiting for its reader.
+///
+/// # Errors
+///
+/// If standard output cannot be set up, or a log is set up already.
+pub fn lines() -> anyhow::Result<()> {
+    use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
+    let stdout = rustix::stdio::stdout();
+    let flags = fcntl_getfl(stdout)?;
+    fcntl_setfl(stdout, flags | OFlags::NONBLOCK)?;
+    tracing_subscriber::fmt()
+        .with_env_filter(EnvFilter::try_new("info")?)
+        .with_target(false)
+        .json()
+        .flatten_event(true)
+        .with_current_span(false)
+        .with_span_list(false)
+        .with_writer(|| Lossy)
+        .try_init()
+        .map_err(|error| anyhow::anyhow!("cannot start the log: {error}"))
+}
