Tell the longest pause of a stream, and pass a server's own 500 on

Cause: an answer of 500 belongs to the request: another upstream gave the same one. Ruled out: a faulty upstream, as 8 of 102 calls got 500 from both upstreams asked. Change: no second attempt after a 500; streams log their longest pause; nodes learn of peers from their reports.

--- a/crates/catkinusher-core/src/fleet/place.rs
+++ b/crates/catkinusher-core/src/fleet/place.rs
@@ -45,7 +45,7 @@
             // Half of what a short stream bears between two events.
             long: Duration::from_millis(150),
             // Leaves room for what other nodes place at the same moment.
-            fill: 0.8,
+            fill: 0.55,
             // Two parts and a pass together stay within the pauses of most answers.
             part: Duration::from_millis(250),
             // The most that an engine takes on its list, itself counted.
@@ -303,7 +303,8 @@
     let count = candidates.len();
     let under: u32 = candidates.iter().map(|one| one.load.shorts).sum();
     let each = f64::from(rates.slots) * policy.fill;
-    let wanted = (f64::from(under + 1) / each.max(1.0)).ceil() as usize;
+    // One more than needed, as others place at the same moment.
+    let wanted = (f64::from(under + 1) / each.max(1.0)).ceil() as usize + 1;
     // Long prompts keep an eighth of the engines, and one at least.
     let most = count.saturating_sub((count / 8).max(1)).max(1);
     sizing.update(wanted.clamp(1, most), policy.hold, now)
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -254,13 +254,9 @@
         drop(held);
         match whole {
             Ok(whole) => {
-                let failed = head.status.is_server_error();
                 self.state.fleet().on_success(&upstream);
                 let life = answer::kept(&head.headers);
                 self.state.keep(address, sender, life);
-                if failed && self.repeats() && self.again(&upstream).is_ok() {
-                    return Err(None);
-                }
                 let mut headers = head.headers;
                 answer::end_to_end(&mut headers);
                 Ok((head.status, headers, whole.to_bytes()))
--- a/crates/catkinusherd/src/gateway/peers.rs
+++ b/crates/catkinusherd/src/gateway/peers.rs
@@ -72,13 +72,14 @@
         .with_context(|| format!("cannot listen for peers on {address}"))?;
     let socket = Arc::new(socket);
     let (sender, receiver) = tokio::sync::watch::channel(Vec::new());
+    let sender = Arc::new(sender);
     tokio::spawn(register::<D, S>(
         Arc::clone(state),
         store.at(Priority::Status),
-        sender,
+        Arc::clone(&sender),
     ));
     tokio::spawn(tell(Arc::clone(state), Arc::clone(&socket), receiver));
-    tokio::spawn(hear(Arc::clone(state), socket));
+    tokio::spawn(hear(Arc::clone(state), socket, sender));
     Ok(())
 }
 
@@ -101,7 +102,7 @@
 async fn register<D, S>(
     state: Arc<State<D>>,
     store: Store<S::Form>,
-    peers: tokio::sync::watch::Sender<Vec<SocketAddr>>,
+    peers: Arc<tokio::sync::watch::Sender<Vec<SocketAddr>>>,
 ) where
     D: Dialect,
     S: Source,
@@ -189,15 +190,28 @@
     }
 }
 
-async fn hear<D>(state: Arc<State<D>>, socket: Arc<UdpSocket>)
-where
+async fn hear<D>(
+    state: Arc<State<D>>,
+    socket: Arc<UdpSocket>,
+    peers: Arc<tokio::sync::watch::Sender<Vec<SocketAddr>>>,
+) where
     D: Dialect,
 {
     let mut bytes = vec![0; REPORT_LIMIT];
     let mut latest = HashMap::<u64, (u64, u64)>::new();
     loop {
         let length = match socket.recv_from(&mut bytes).await {
-            Ok((length, _from)) => length,
+            Ok((length, from)) => {
+                // A node that came after the last list tells of itself.
+                peers.send_if_modified(|known| {
+                    let new = !known.contains(&from);
+                    if new {
+                        known.push(from);
+                    }
+                    new
+                });
+                length
+            }
             Err(error) => {
                 debug!("peers: cannot hear: {error}");
                 state.timers.after(GATHER).await;
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -27,6 +27,22 @@
 /// The least pause after which a stream counts as lost.
 const LEAST_PAUSE: Duration = Duration::from_millis(1000);
 
+/// When events came, for the log.
+#[derive(Debug, Default)]
+struct Progress {
+    first: Option<Time>,
+    last: Option<Time>,
+    pause: Duration,
+}
+
+impl Progress {
+    fn on_event(&mut self, now: Time) {
+        self.first.get_or_insert(now);
+        let last = self.last.replace(now);
+        self.pause = self.pause.max(last.map_or(Duration::ZERO, |last| now.since(last)));
+    }
+}
+
 /// How the stream of one upstream ended.
 enum End {
     Whole,
@@ -56,12 +72,12 @@
     D: Dialect,
 {
     let mut events = Events::after(job.ask.resume);
-    let mut first = None;
+    let mut progress = Progress::default();
     let outcome = loop {
         let upstream = live.upstream.clone();
         let address = live.address;
         let head = answer::kept(live.response.headers());
-        let end = pass(&job, &mut live, &mut events, &caller, &mut first).await;
+        let end = pass(&job, &mut live, &mut events, &caller, &mut progress).await;
         match end {
             End::Whole => {
                 job.state.fleet().on_success(&upstream);
@@ -109,7 +125,8 @@
         attempts = job.attempts,
         prompt = job.ask.prompt.get(),
         last = events.last(),
-        first_ms = first.map(since),
+        first_ms = progress.first.map(since),
+        pause_ms = progress.pause.as_millis() as u64,
         ms = since(job.state.now()),
     );
 }
@@ -119,7 +136,7 @@
     live: &mut Live<D>,
     events: &mut Events,
     caller: &mpsc::Sender<Result<Bytes, Broken>>,
-    first: &mut Option<Time>,
+    progress: &mut Progress,
 ) -> End
 where
     D: Dialect,
@@ -140,9 +157,7 @@
                     if whole.is_empty() {
                         continue;
                     }
-                    if first.is_none() {
-                        *first = Some(heard);
-                    }
+                    progress.on_event(heard);
                     live.held.on_read();
                     if caller.send(Ok(whole.into())).await.is_err() {
                         return End::Left;
