Let answers of long prompts gather on few engines that others read for

Cause: an engine that reads holds up the answers that it writes, so long streams were late by their pauses; and nodes that start together did not see each other for 20 s, as each listed its peers before the others had registered. Change: zones for short prompts, writers and readers; backlogs that shrink with time; a second list of peers after registration.

--- a/crates/catkinusher-core/src/directory/mod.rs
+++ b/crates/catkinusher-core/src/directory/mod.rs
@@ -15,6 +15,9 @@
 use crate::id::{CustomerId, ServiceId};
 use crate::units::Rate;
 
+/// The least time that callers wait for the first event of a stream.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+
 /// What may happen to a request more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -85,6 +88,20 @@
         self.split.last().map(|(service, _)| service)
     }
 
+    /// How long a caller waits for the first event before it leaves.
+    ///
+    /// Callers tell their deadline but not this; the multiples are those that
+    /// the users' pages state.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        match self.delivery {
+            Delivery::Whole => self.timeout,
+            Delivery::Events { pause } => (self.objective * 4)
+                .max(pause.unwrap_or_default() * 8)
+                .max(LEAST_PATIENCE),
+        }
+    }
+
     /// Whether its answers are streams.
     #[must_use]
     pub const fn streams(&self) -> bool {
--- a/crates/catkinusher-core/src/fleet/load.rs
+++ b/crates/catkinusher-core/src/fleet/load.rs
@@ -20,11 +20,24 @@
     }
 }
 
+/// What an upstream does for a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Share {
+    /// It reads a short prompt and answers.
+    #[default]
+    Short,
+    /// It reads a long prompt, or a part of one, and answers.
+    Long,
+    /// It reads a part of a prompt for another upstream.
+    Part,
+}
+
 /// What one request costs one upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cost {
-    /// Whether it is a long prompt.
-    pub long: bool,
+    /// What the upstream does for it.
+    pub share: Share,
     /// How long the upstream reads.
     pub reading: Duration,
     /// The tokens that it holds until its end.
@@ -38,10 +51,14 @@
     pub shorts: u32,
     /// Requests of long prompts.
     pub longs: u32,
+    /// Parts of prompts that other upstreams answer.
+    pub parts: u32,
     /// How long it still reads, in milliseconds.
     pub unread: u64,
     /// The tokens held.
     pub held: u64,
+    /// All reading that was ever asked of it, in milliseconds; it only grows.
+    pub given: u64,
 }
 
 impl Load {
@@ -54,23 +71,31 @@
     /// Whether nothing is under way.
     #[must_use]
     pub const fn is_idle(&self) -> bool {
-        self.shorts == 0 && self.longs == 0 && self.unread == 0
+        self.shorts == 0 && self.longs == 0 && self.parts == 0
+    }
+
+    const fn count(&mut self, share: Share) -> &mut u32 {
+        match share {
+            Share::Short => &mut self.shorts,
+            Share::Long => &mut self.longs,
+            Share::Part => &mut self.parts,
+        }
     }
 
     pub(super) const fn merge(&mut self, other: &Self) {
         self.shorts += other.shorts;
         self.longs += other.longs;
+        self.parts += other.parts;
         self.unread += other.unread;
         self.held += other.held;
+        self.given += other.given;
     }
 
     pub(super) const fn add(&mut self, cost: &Cost) {
-        if cost.long {
-            self.longs += 1;
-        } else {
-            self.shorts += 1;
-        }
-        self.unread += cost.reading.as_millis() as u64;
+        *self.count(cost.share) += 1;
+        let reading = cost.reading.as_millis() as u64;
+        self.unread += reading;
+        self.given += reading;
         self.held += cost.held.get();
     }
 
@@ -80,11 +105,8 @@
     }
 
     pub(super) const fn remove(&mut self, cost: &Cost) {
-        if cost.long {
-            self.longs = self.longs.saturating_sub(1);
-        } else {
-            self.shorts = self.shorts.saturating_sub(1);
-        }
+        let count = self.count(cost.share);
+        *count = count.saturating_sub(1);
         self.held = self.held.saturating_sub(cost.held.get());
     }
 }
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -11,8 +11,8 @@
 mod upstream;
 
 pub use self::health::Fault;
-pub use self::load::{Cost, Load, Work};
-pub use self::place::{Demand, Overload, Placement, Policy};
+pub use self::load::{Cost, Load, Share, Work};
+pub use self::place::{Basis, Demand, Overload, Placement, Policy};
 pub use self::upstream::Upstream;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -38,9 +38,32 @@
     lapse: Option<Time>,
     health: Health,
     own: Load,
+    backlog: Backlog,
     sent: Vec<Time>,
 }
 
+/// The reading that an upstream is still to do, by what all nodes have asked of it.
+///
+/// An upstream reads on whether or not its first events are seen, so that what
+/// was asked shrinks with time.
+#[derive(Debug, Clone, Copy, Default)]
+struct Backlog {
+    millis: u64,
+    at: Time,
+}
+
+impl Backlog {
+    fn left(&self, now: Time) -> u64 {
+        let passed = now.since(self.at).as_millis() as u64;
+        self.millis.saturating_sub(passed)
+    }
+
+    fn add(&mut self, millis: u64, now: Time) {
+        self.millis = self.left(now) + millis;
+        self.at = now;
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Told {
     at: Time,
@@ -56,7 +79,7 @@
     peers: HashMap<u64, Told>,
     work: HashMap<u64, (UpstreamId, Cost, bool)>,
     next: u64,
-    sizing: BTreeMap<ServiceId, place::Sizing>,
+    sizing: BTreeMap<ServiceId, (place::Sizing, place::Sizing)>,
 }
 
 impl Fleet {
@@ -112,6 +135,7 @@
             lapse: None,
             health: Health::default(),
             own: Load::default(),
+            backlog: Backlog::default(),
             sent: Vec::new(),
             upstream,
         };
@@ -154,6 +178,17 @@
 
     /// Takes in what a peer has under way.
     pub fn on_loads(&mut self, peer: u64, loads: HashMap<u32, Load>, now: Time) {
+        let before = self.peers.get(&peer);
+        for entry in self.entries.values_mut() {
+            let short = place::short(entry.rank);
+            let Some(load) = loads.get(&short) else {
+                continue;
+            };
+            // A peer that was unknown has asked for what it now waits for.
+            let told = before.and_then(|told| told.loads.get(&short));
+            let known = told.map_or(load.given.saturating_sub(load.unread), |told| told.given);
+            entry.backlog.add(load.given.saturating_sub(known), now);
+        }
         self.peers.insert(peer, Told { at: now, loads });
         self.peers
             .retain(|_, told| now.since(told.at) < LOADS_LIFE);
@@ -164,7 +199,7 @@
     pub fn loads(&self) -> HashMap<u32, Load> {
         self.entries
             .values()
-            .filter(|entry| !entry.own.is_idle())
+            .filter(|entry| entry.own.given > 0 || !entry.own.is_idle())
             .map(|entry| (place::short(entry.rank), entry.own))
             .collect()
     }
@@ -206,6 +241,7 @@
         let work = Work::new(self.next);
         if let Some(entry) = self.entries.get_mut(id) {
             entry.own.add(&cost);
+            entry.backlog.add(cost.reading.as_millis() as u64, now);
             entry.sent.retain(|at| now.since(*at) < COLD_WINDOW);
             entry.sent.push(now);
         }
@@ -266,6 +302,7 @@
                 load.merge(theirs);
             }
         }
+        load.unread = load.unread.min(entry.backlog.left(now));
         load
     }
 
--- a/crates/catkinusher-core/src/fleet/place.rs
+++ b/crates/catkinusher-core/src/fleet/place.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 
-use super::{Cost, Entry, Fleet, Load};
+use super::{Cost, Entry, Fleet, Load, Share};
 use crate::directory::Service;
 use crate::engine::Rates;
 use crate::id::{ServiceId, UpstreamId};
@@ -33,6 +33,8 @@
     pub part: Duration,
     /// The most engines that read one prompt together.
     pub helpers: usize,
+    /// The answers of long prompts that one engine writes together.
+    pub together: u32,
     /// Requests beyond the places of an upstream that may wait there.
     pub waiting: u32,
     /// How long the number of engines for short prompts stays after less is needed.
@@ -45,11 +47,13 @@
             // Half of what a short stream bears between two events.
             long: Duration::from_millis(150),
             // Leaves room for what other nodes place at the same moment.
-            fill: 0.55,
-            // Two parts and a pass together stay within the pauses of most answers.
-            part: Duration::from_millis(250),
+            fill: 0.65,
+            // A part and a pass together stay within the pauses of most answers.
+            part: Duration::from_millis(120),
             // The most that an engine takes on its list, itself counted.
             helpers: 16,
+            // Their context fills an engine's memory and slows its steps.
+            together: 4,
             // A few requests wait for less than a pass.
             waiting: 2,
             // About the length of an answer.
@@ -80,6 +84,23 @@
     pub cost: Cost,
     /// Engines that read parts of the prompt, and what that costs each.
     pub helpers: Vec<(UpstreamId, Cost)>,
+    /// What it was chosen by.
+    pub basis: Basis,
+}
+
+/// What a placement was chosen by, for logs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Basis {
+    /// The upstreams that could have been chosen.
+    pub choices: usize,
+    /// Those of them that are for short prompts.
+    pub shorts: usize,
+    /// Those of them that answer long prompts.
+    pub writers: usize,
+    /// What the chosen one was believed to have under way.
+    pub load: Load,
+    /// The longest time that any of its engines is still to read.
+    pub wait: Duration,
 }
 
 /// Why a request finds no upstream.
@@ -93,20 +114,20 @@
     TooLong,
 }
 
-/// How many engines take short prompts, kept for a while.
+/// How many engines do one kind of work, kept for a while.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Sizing {
-    shorts: usize,
+    count: usize,
     since: Time,
 }
 
 impl Sizing {
     fn update(&mut self, wanted: usize, hold: Duration, now: Time) -> usize {
-        if wanted >= self.shorts || now.since(self.since) >= hold {
-            self.shorts = wanted;
+        if wanted >= self.count || now.since(self.since) >= hold {
+            self.count = wanted;
             self.since = now;
         }
-        self.shorts
+        self.count
     }
 }
 
@@ -214,6 +235,11 @@
             first: best.id.clone(),
             cost: Cost::default(),
             helpers: Vec::new(),
+            basis: Basis {
+                choices: candidates.len(),
+                load: best.load,
+                ..Basis::default()
+            },
         })
     }
 
@@ -224,7 +250,7 @@
         rates: &Rates,
         demand: &Demand,
         policy: &Policy,
-        sizing: &mut Sizing,
+        sizing: &mut (Sizing, Sizing),
         now: Time,
         rng: &mut R,
     ) -> Result<Placement, Overload>
@@ -241,11 +267,13 @@
             return Err(Overload::TooLong);
         }
         let reading = rates.reading(demand.prompt);
-        let shorts = shorts(&candidates, rates, policy, sizing, now);
+        let shorts = shorts(&candidates, rates, policy, &mut sizing.0, now);
         if reading < policy.long {
             self.place_short(&candidates, rates, demand, policy, shorts, reading, rng)
         } else {
-            place_long(&candidates[shorts..], rates, demand, policy, reading, rng)
+            let behind = &candidates[shorts..];
+            let writers = writers(behind, policy, &mut sizing.1, now);
+            place_long(behind, writers, rates, demand, policy, reading, rng)
         }
     }
 
@@ -283,11 +311,18 @@
         Ok(Placement {
             first: best.id.clone(),
             cost: Cost {
-                long: false,
+                share: Share::Short,
                 reading,
                 held: demand.prompt + demand.answer,
             },
             helpers: Vec::new(),
+            basis: Basis {
+                choices: candidates.len(),
+                shorts,
+                load: best.load,
+                wait: Duration::from_millis(best.load.unread),
+                ..Basis::default()
+            },
         })
     }
 }
@@ -303,16 +338,28 @@
     let count = candidates.len();
     let under: u32 = candidates.iter().map(|one| one.load.shorts).sum();
     let each = f64::from(rates.slots) * policy.fill;
-    // One more than needed, as others place at the same moment.
-    let wanted = (f64::from(under + 1) / each.max(1.0)).ceil() as usize + 1;
+    let wanted = (f64::from(under + 1) / each.max(1.0)).ceil() as usize;
     // Long prompts keep an eighth of the engines, and one at least.
     let most = count.saturating_sub((count / 8).max(1)).max(1);
     sizing.update(wanted.clamp(1, most), policy.hold, now)
         .min(count.saturating_sub(1))
 }
 
+/// How many engines, from the front of those for long prompts, write their answers.
+fn writers(behind: &[Candidate<'_>], policy: &Policy, sizing: &mut Sizing, now: Time) -> usize {
+    let under: u32 = behind.iter().map(|one| one.load.longs).sum();
+    let wanted = (under + 1).div_ceil(policy.together.max(1)) as usize;
+    let most = (behind.len() / 4).max(1);
+    sizing.update(wanted.clamp(1, most), policy.hold, now).min(most)
+}
+
+/// Places a long prompt on engines that read, answered by one that writes.
+///
+/// An engine that reads holds up the answers that it writes. So the answers of
+/// long prompts gather on few engines, and the others read for them.
 fn place_long<R>(
     behind: &[Candidate<'_>],
+    writers: usize,
     rates: &Rates,
     demand: &Demand,
     policy: &Policy,
@@ -327,27 +374,36 @@
         one.load.held + whole.get() <= rates.memory.get() && one.load.answers() < rates.slots
     };
     let score = |one: &Candidate<'_>| {
-        let far = if one.near { 0.0 } else { 5.0 };
-        let unread = one.load.unread as f64;
-        let beside = f64::from(one.load.answers()) * ANSWER_WEIGHT;
-        unread + beside + 500.0 * one.entry.health.failing() + far
+        one.load.unread as f64
+            + f64::from(one.load.longs) * ANSWER_WEIGHT
+            + f64::from(one.load.shorts) * CROWD_WEIGHT
+            + 500.0 * one.entry.health.failing()
     };
-    let room: Vec<&Candidate<'_>> = behind.iter().filter(fits).collect();
-    let best = room
+    let mut best = None;
+    for group in [&behind[..writers], &behind[writers..]] {
+        best = group
+            .iter()
+            .filter(fits)
+            .map(|one| (score(one) + rng.random_range(0.0..1.0), one))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, one)| one);
+        if best.is_some() {
+            break;
+        }
+    }
+    let best = best.ok_or(Overload::Full(RETRY_LONG))?;
+    let mut others: Vec<&Candidate<'_>> = behind[writers..]
         .iter()
-        .map(|one| (score(one) + rng.random_range(0.0..1.0), *one))
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .map(|(_, one)| one)
-        .ok_or(Overload::Full(RETRY_LONG))?;
+        .filter(|one| one.id != best.id)
+        .collect();
+    others.sort_by(|a, b| {
+        let calm = |one: &Candidate<'_>| one.load.shorts == 0;
+        calm(b).cmp(&calm(a)).then(score(a).total_cmp(&score(b)))
+    });
+    let calm = others.iter().filter(|one| one.load.shorts == 0).count();
     let wanted = (reading.as_secs_f64() / policy.part.as_secs_f64()).ceil() as usize;
-    let parts = if rates.joint { wanted } else { 1 }
-        .min(policy.helpers)
-        .min(behind.len())
-        .max(1);
-    let mut others: Vec<&Candidate<'_>> =
-        behind.iter().filter(|one| one.id != best.id).collect();
-    others.sort_by(|a, b| score(a).total_cmp(&score(b)));
-    others.truncate(parts - 1);
+    let most = if rates.joint { policy.helpers } else { 0 };
+    others.truncate(wanted.saturating_sub(1).max(1).min(most).min(calm.max(1)));
     let part = reading / (others.len() as u32 + 1);
     let wait = others
         .iter()
@@ -356,14 +412,16 @@
         .map(|one| one.load.unread)
         .max()
         .map_or(Duration::ZERO, Duration::from_millis);
-    if wait + part > demand.patience {
-        return Err(Overload::Full(RETRY_LONG));
+    let start = wait + part;
+    if start > demand.patience {
+        let over = start.saturating_sub(demand.patience);
+        return Err(Overload::Full(over.clamp(RETRY_LEAST, RETRY_LONG)));
     }
     let helpers = others
         .into_iter()
         .map(|one| {
             let cost = Cost {
-                long: true,
+                share: Share::Part,
                 reading: part,
                 held: Tokens::ZERO,
             };
@@ -373,11 +431,18 @@
     Ok(Placement {
         first: best.id.clone(),
         cost: Cost {
-            long: true,
+            share: Share::Long,
             reading: part,
             held: whole,
         },
         helpers,
+        basis: Basis {
+            choices: behind.len(),
+            shorts: 0,
+            writers,
+            load: best.load,
+            wait,
+        },
     })
 }
 
@@ -404,8 +469,11 @@
 /// Scores this near to each other count as equal.
 const TIE: f64 = 0.02;
 
-/// What an answer under way weighs in milliseconds of reading, for a long prompt's choice.
-const ANSWER_WEIGHT: f64 = 15.0;
+/// What a short answer weighs that a long prompt beside it would hold up, in milliseconds of reading.
+const CROWD_WEIGHT: f64 = 60.0;
+
+/// What an answer of a long prompt weighs, in milliseconds of reading.
+const ANSWER_WEIGHT: f64 = 60.0;
 
 /// When a place of a plain service is free again, a few calls later.
 const RETRY_PLAIN: Duration = Duration::from_millis(150);
@@ -413,6 +481,9 @@
 /// When a place for a short prompt is free again, by the length of usual answers.
 const RETRY_SHORT: Duration = Duration::from_millis(800);
 
+/// The least wait that is asked of a caller.
+const RETRY_LEAST: Duration = Duration::from_millis(400);
+
 /// When the engines have read the long prompts that wait.
-const RETRY_LONG: Duration = Duration::from_millis(1500);
+const RETRY_LONG: Duration = Duration::from_millis(4000);
 
--- a/crates/catkinusherd/src/gateway/attempt.rs
+++ b/crates/catkinusherd/src/gateway/attempt.rs
@@ -144,7 +144,7 @@
             let (placement, address, helpers) = self.place()?;
             let upstream = placement.first.clone();
             let held = self.hold(&placement);
-            match self.exchange(&upstream, address, helpers, held, resume).await {
+            match self.exchange(&placement, address, helpers, held, resume).await {
                 Ok(live) => return Ok(live),
                 Err(Miss::Late) => return Err(self.late()),
                 Err(Miss::Unsent(detail)) => {
@@ -191,7 +191,7 @@
         let demand = Demand {
             prompt: self.ask.prompt,
             answer: self.ask.answer,
-            patience: self.left(),
+            patience: self.left().min(self.route.patience()),
             avoid: self.avoid.clone(),
         };
         let now = self.state.now();
@@ -241,12 +241,13 @@
 
     async fn exchange(
         &mut self,
-        upstream: &UpstreamId,
+        placement: &Placement,
         address: SocketAddr,
         helpers: Vec<SocketAddr>,
         held: Held<D>,
         resume: Option<u64>,
     ) -> Result<Live<D>, Miss> {
+        let upstream = &placement.first;
         // A kept connection may be closed by the other side at any moment, which nothing proves afterwards.
         let fresh = self.route.repeat == Repeat::Once;
         let now = self.state.now();
@@ -264,6 +265,7 @@
         self.trail.on_evidence(Evidence::Leaving);
         self.attempts += 1;
         let silence = self.silence();
+        let basis = &placement.basis;
         info!(
             event = "send",
             request = self.name(),
@@ -271,6 +273,12 @@
             attempt = self.attempts,
             helpers = helpers.len(),
             fresh,
+            choices = basis.choices,
+            shorts = basis.shorts,
+            writers = basis.writers,
+            answers = basis.load.answers(),
+            parts = basis.load.parts,
+            wait_ms = basis.wait.as_millis() as u64,
             left_ms = left.as_millis() as u64,
         );
         let sent = tokio::select! {
--- a/crates/catkinusherd/src/gateway/peers.rs
+++ b/crates/catkinusherd/src/gateway/peers.rs
@@ -31,6 +31,9 @@
 /// How often the list of peers is read again; it changes with machines only.
 const LIST_PERIOD: Duration = Duration::from_secs(20);
 
+/// How soon the list is read again after a registration; nodes that start together register together.
+const SETTLE: Duration = Duration::from_millis(900);
+
 /// The pause after a registration or a list that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
@@ -141,6 +144,9 @@
                 state.timers.after(RETRY_PAUSE).await;
                 continue;
             }
+            registered = true;
+            state.timers.after(SETTLE).await;
+            continue;
         }
         registered = true;
         peers.send_if_modified(|known| {
