Read long prompts in the order of the shortest first, late ones when engines are idle

Cause: engines read the newest part first, so under load an older prompt starves for seconds on one of its engines, and late ones preempt those that could be on time. Change: a long prompt waits at its node while a shorter one is being read, a late one until the engines are idle or its caller is about to leave.

--- a/crates/catkinusher-core/src/fleet/load.rs
+++ b/crates/catkinusher-core/src/fleet/load.rs
@@ -55,6 +55,8 @@
     pub parts: u32,
     /// How long it still reads, in milliseconds.
     pub unread: u64,
+    /// The least reading of one request that is not read yet, in milliseconds; zero if all are.
+    pub least: u64,
     /// The tokens held.
     pub held: u64,
     /// All reading that was ever asked of it, in milliseconds; it only grows.
@@ -89,6 +91,11 @@
         self.unread += other.unread;
         self.held += other.held;
         self.given += other.given;
+        self.least = match (self.least, other.least) {
+            (0, least) | (least, 0) => least,
+            (a, b) if a < b => a,
+            (_, b) => b,
+        };
     }
 
     pub(super) const fn add(&mut self, cost: &Cost) {
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -200,10 +200,26 @@
         self.entries
             .values()
             .filter(|entry| entry.own.given > 0 || !entry.own.is_idle())
-            .map(|entry| (place::short(entry.rank), entry.own))
+            .map(|entry| (place::short(entry.rank), self.own(entry)))
             .collect()
     }
 
+    /// What this node has under way at an upstream.
+    fn own(&self, entry: &Entry) -> Load {
+        let least = self
+            .work
+            .values()
+            .filter(|(id, cost, read)| {
+                !read && *id == entry.upstream.id && cost.share != Share::Short
+            })
+            .map(|(_, cost, _)| (cost.reading.as_millis() as u64).max(1))
+            .min();
+        Load {
+            least: least.unwrap_or_default(),
+            ..entry.own
+        }
+    }
+
     /// The nodes that are known to serve, this one counted.
     #[must_use]
     pub fn nodes(&self, now: Time) -> usize {
@@ -294,7 +310,7 @@
     /// What all nodes are known to have under way at an upstream.
     fn load(&self, entry: &Entry, now: Time) -> Load {
         let short = place::short(entry.rank);
-        let mut load = entry.own;
+        let mut load = self.own(entry);
         for told in self.peers.values() {
             if now.since(told.at) < LOADS_LIFE
                 && let Some(theirs) = told.loads.get(&short)
--- a/crates/catkinusher-core/src/fleet/place.rs
+++ b/crates/catkinusher-core/src/fleet/place.rs
@@ -31,6 +31,8 @@
     pub fill: f64,
     /// The reading time that each engine should get of a long prompt.
     pub part: Duration,
+    /// The longest part that may hold up an engine that writes.
+    pub burden: Duration,
     /// The most engines that read one prompt together.
     pub helpers: usize,
     /// The answers of long prompts that one engine writes together.
@@ -48,9 +50,11 @@
             long: Duration::from_millis(150),
             // Leaves room for what other nodes place at the same moment.
             fill: 0.65,
-            // A part and a pass together stay within the pauses of most answers.
-            part: Duration::from_millis(120),
-            // The most that an engine takes on its list, itself counted.
+            // About a pass, below which a part gains nothing.
+            part: Duration::from_millis(50),
+            // With a pass it stays within the pauses of most answers.
+            burden: Duration::from_millis(300),
+            // The most that an engine takes on its list.
             helpers: 16,
             // Their context fills an engine's memory and slows its steps.
             together: 4,
@@ -69,8 +73,14 @@
     pub prompt: Tokens,
     /// The most tokens that its answer may have.
     pub answer: Tokens,
-    /// How long the caller waits for the first sign.
+    /// The time within which its first event is on time.
+    pub objective: Duration,
+    /// How long ago the caller first asked, as far as can be told.
+    pub spent: Duration,
+    /// How long the caller waits for the first sign of this attempt.
     pub patience: Duration,
+    /// How long this attempt has waited already.
+    pub waited: Duration,
     /// The upstreams that have failed it already.
     pub avoid: Vec<UpstreamId>,
 }
@@ -110,6 +120,8 @@
     None,
     /// All are full; room is expected after this time.
     Full(Duration),
+    /// Shorter prompts are being read; ask again after this time.
+    Behind(Duration),
     /// No engine's memory holds the prompt.
     TooLong,
 }
@@ -272,7 +284,7 @@
             self.place_short(&candidates, rates, demand, policy, shorts, reading, rng)
         } else {
             let behind = &candidates[shorts..];
-            let writers = writers(behind, policy, &mut sizing.1, now);
+            let writers = writers(behind, rates, policy, &mut sizing.1, now);
             place_long(behind, writers, rates, demand, policy, reading, rng)
         }
     }
@@ -346,17 +358,30 @@
 }
 
 /// How many engines, from the front of those for long prompts, write their answers.
-fn writers(behind: &[Candidate<'_>], policy: &Policy, sizing: &mut Sizing, now: Time) -> usize {
+fn writers(
+    behind: &[Candidate<'_>],
+    rates: &Rates,
+    policy: &Policy,
+    sizing: &mut Sizing,
+    now: Time,
+) -> usize {
     let under: u32 = behind.iter().map(|one| one.load.longs).sum();
-    let wanted = (under + 1).div_ceil(policy.together.max(1)) as usize;
-    let most = (behind.len() / 4).max(1);
-    sizing.update(wanted.clamp(1, most), policy.hold, now).min(most)
+    let held: u64 = behind.iter().map(|one| one.load.held).sum();
+    let by_count = (under + 1).div_ceil(policy.together.max(1)) as usize;
+    let by_memory = (held as f64 / (rates.memory.get() as f64 * MEMORY_FILL)).ceil() as usize;
+    let most = (behind.len() / 3).max(1);
+    let wanted = by_count.max(by_memory).clamp(1, most);
+    sizing.update(wanted, policy.hold, now).min(most)
 }
 
 /// Places a long prompt on engines that read, answered by one that writes.
 ///
 /// An engine that reads holds up the answers that it writes. So the answers of
-/// long prompts gather on few engines, and the others read for them.
+/// long prompts gather on few engines, and the others read for them. Engines
+/// read the newest part first, so a prompt that meets newer ones on one of its
+/// engines only waits there for all. The more engines each prompt takes, the
+/// more alike their orders are. A prompt whose part would hold up a writer for
+/// too long answers from a reader.
 fn place_long<R>(
     behind: &[Candidate<'_>],
     writers: usize,
@@ -379,8 +404,14 @@
             + f64::from(one.load.shorts) * CROWD_WEIGHT
             + 500.0 * one.entry.health.failing()
     };
+    let (writing, readers) = behind.split_at(writers);
+    let most = if rates.joint { policy.helpers.min(readers.len()) } else { 0 };
+    let parts = |each: Duration| (reading.as_secs_f64() / each.as_secs_f64()).ceil() as usize;
+    let count = parts(policy.part).max(2) - 1;
+    let own = reading > policy.burden * (most as u32 + 1);
+    let groups = if own { [readers, writing] } else { [writing, readers] };
     let mut best = None;
-    for group in [&behind[..writers], &behind[writers..]] {
+    for group in groups {
         best = group
             .iter()
             .filter(fits)
@@ -392,19 +423,32 @@
         }
     }
     let best = best.ok_or(Overload::Full(RETRY_LONG))?;
-    let mut others: Vec<&Candidate<'_>> = behind[writers..]
-        .iter()
-        .filter(|one| one.id != best.id)
-        .collect();
+    let mut others: Vec<&Candidate<'_>> =
+        readers.iter().filter(|one| one.id != best.id).collect();
+    let reader = |one: &Candidate<'_>| {
+        score(one) + f64::from(one.load.longs.min(1)) * WRITES_WEIGHT
+    };
     others.sort_by(|a, b| {
         let calm = |one: &Candidate<'_>| one.load.shorts == 0;
-        calm(b).cmp(&calm(a)).then(score(a).total_cmp(&score(b)))
+        calm(b).cmp(&calm(a)).then(reader(a).total_cmp(&reader(b)))
     });
     let calm = others.iter().filter(|one| one.load.shorts == 0).count();
-    let wanted = (reading.as_secs_f64() / policy.part.as_secs_f64()).ceil() as usize;
-    let most = if rates.joint { policy.helpers } else { 0 };
-    others.truncate(wanted.saturating_sub(1).max(1).min(most).min(calm.max(1)));
+    others.truncate(count.min(most).min(calm.max(1)));
     let part = reading / (others.len() as u32 + 1);
+    // Engines read the newest part first. A prompt that waits until no shorter
+    // one is being read makes that the order of the shortest first; one that
+    // is late in any case goes when the engines have nothing else to read.
+    let shorter = |one: &Candidate<'_>| {
+        one.load.least > 0 && (one.load.least as f64) < part.as_millis() as f64 * SHORTER
+    };
+    let busy = |one: &Candidate<'_>| one.load.unread > IDLE;
+    let on_time = demand.spent + part.mul_f64(MARGIN) <= demand.objective;
+    let last_call = demand.waited + part * 2 + LAST_CALL >= demand.patience;
+    let mut engines = others.iter().copied().chain([best]);
+    let wait_on = if on_time { engines.any(shorter) } else { engines.any(busy) };
+    if wait_on && !last_call {
+        return Err(Overload::Behind(LOOK_AGAIN));
+    }
     let wait = others
         .iter()
         .copied()
@@ -412,11 +456,6 @@
         .map(|one| one.load.unread)
         .max()
         .map_or(Duration::ZERO, Duration::from_millis);
-    let start = wait + part;
-    if start > demand.patience {
-        let over = start.saturating_sub(demand.patience);
-        return Err(Overload::Full(over.clamp(RETRY_LEAST, RETRY_LONG)));
-    }
     let helpers = others
         .into_iter()
         .map(|one| {
@@ -475,14 +514,32 @@
 /// What an answer of a long prompt weighs, in milliseconds of reading.
 const ANSWER_WEIGHT: f64 = 60.0;
 
+/// What an answer under way weighs against an engine that is to read, in milliseconds of reading.
+const WRITES_WEIGHT: f64 = 300.0;
+
+/// The share of an engine's memory that long prompts fill before another engine writes.
+const MEMORY_FILL: f64 = 0.7;
+
 /// When a place of a plain service is free again, a few calls later.
 const RETRY_PLAIN: Duration = Duration::from_millis(150);
 
 /// When a place for a short prompt is free again, by the length of usual answers.
 const RETRY_SHORT: Duration = Duration::from_millis(800);
 
-/// The least wait that is asked of a caller.
-const RETRY_LEAST: Duration = Duration::from_millis(400);
+/// A part shorter than this share of another is let go first.
+const SHORTER: f64 = 0.8;
+
+/// The multiple of its reading time that a prompt should have left to be on time.
+const MARGIN: f64 = 1.2;
+
+/// The reading, in milliseconds, that an engine has still to do when it counts as idle.
+const IDLE: u64 = 60;
+
+/// What a late prompt leaves of its caller's patience beyond twice its reading time.
+const LAST_CALL: Duration = Duration::from_millis(1500);
+
+/// When a prompt that waits looks again, less than half a pass.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
 /// When the engines have read the long prompts that wait.
 const RETRY_LONG: Duration = Duration::from_millis(4000);
--- a/crates/catkinusherd/src/gateway/attempt.rs
+++ b/crates/catkinusherd/src/gateway/attempt.rs
@@ -141,7 +141,7 @@
             if self.left() < LEAST_TIME {
                 return Err(self.late());
             }
-            let (placement, address, helpers) = self.place()?;
+            let (placement, address, helpers) = self.turn().await?;
             let upstream = placement.first.clone();
             let held = self.hold(&placement);
             match self.exchange(&placement, address, helpers, held, resume).await {
@@ -183,34 +183,47 @@
         })
     }
 
-    fn place(&self) -> Result<(Placement, SocketAddr, Vec<SocketAddr>), Refusal> {
-        let service = self
-            .directory
-            .service(&self.service)
-            .ok_or_else(|| self.refused(NONE_WAIT))?;
+    /// Waits until the request may be placed.
+    async fn turn(&self) -> Result<(Placement, SocketAddr, Vec<SocketAddr>), Refusal> {
+        loop {
+            match self.place() {
+                Ok(placed) => return Ok(placed),
+                Err(Overload::Behind(pause)) => self.state.timers.after(pause).await,
+                Err(Overload::Full(wait)) => {
+                    return Err(self.trail.told(Refusal::QueueFull {
+                        service: self.service.clone(),
+                        after: Span::new(wait),
+                    }));
+                }
+                Err(Overload::TooLong) => {
+                    return Err(self.trail.told(Refusal::QueueFull {
+                        service: self.service.clone(),
+                        after: NONE_WAIT,
+                    }));
+                }
+                Err(Overload::None) => return Err(self.refused(NONE_WAIT)),
+            }
+        }
+    }
+
+    fn place(&self) -> Result<(Placement, SocketAddr, Vec<SocketAddr>), Overload> {
+        let service = self.directory.service(&self.service).ok_or(Overload::None)?;
         let demand = Demand {
             prompt: self.ask.prompt,
             answer: self.ask.answer,
-            patience: self.left().min(self.route.patience()),
+            objective: self.route.objective,
+            spent: self.age + self.state.now().since(self.received),
+            patience: self.patience,
+            waited: self.state.now().since(self.received),
             avoid: self.avoid.clone(),
         };
         let now = self.state.now();
         let policy = &self.state.settings.placing;
         let mut fleet = self.state.fleet();
         let placed = fleet.place(service, &demand, policy, now, &mut rand::rng());
-        let placement = placed.map_err(|overload| match overload {
-            Overload::None => self.refused(NONE_WAIT),
-            Overload::Full(wait) => self.trail.told(Refusal::QueueFull {
-                service: self.service.clone(),
-                after: Span::new(wait),
-            }),
-            Overload::TooLong => self.trail.told(Refusal::QueueFull {
-                service: self.service.clone(),
-                after: NONE_WAIT,
-            }),
-        })?;
+        let placement = placed?;
         let address = |id: &UpstreamId| fleet.get(id).map(|one| one.address);
-        let first = address(&placement.first).ok_or_else(|| self.refused(NONE_WAIT))?;
+        let first = address(&placement.first).ok_or(Overload::None)?;
         let helpers = placement
             .helpers
             .iter()
@@ -271,7 +284,7 @@
             request = self.name(),
             upstream = %upstream,
             attempt = self.attempts,
-            helpers = helpers.len(),
+            helpers = ?placement.helpers.iter().map(|(id, _)| id.as_str()).collect::<Vec<_>>(),
             fresh,
             choices = basis.choices,
             shorts = basis.shorts,
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -44,6 +44,10 @@
     pub(super) body: Bytes,
     pub(super) received: Time,
     pub(super) deadline: Time,
+    /// How long ago the caller first asked: what is missing of its usual time.
+    pub(super) age: Duration,
+    /// How long the caller waits for the first sign.
+    pub(super) patience: Duration,
     pub(super) trail: Trail,
     pub(super) attempts: u32,
     pub(super) avoid: Vec<UpstreamId>,
@@ -154,6 +158,8 @@
         service,
         received,
         deadline: received + time,
+        age: route.timeout.saturating_sub(time),
+        patience: time.min(route.patience()),
         trail: Trail::new(),
         attempts: 0,
         avoid: Vec::new(),
