--- a/crates/catkinusher-core/src/fleet/load.rs
+++ b/crates/catkinusher-core/src/fleet/load.rs
@@ -45,7 +45,10 @@
 }
 
 /// What requests under way cost an upstream in sum.
+///
+/// It is told to peers many times a second, so it goes as a bare list of its fields.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "Row", from = "Row")]
 pub struct Load {
     /// Requests of short prompts.
     pub shorts: u32,
@@ -63,6 +66,37 @@
     pub given: u64,
 }
 
+/// The fields of a [`Load`] in their order.
+type Row = (u32, u32, u32, u64, u64, u64, u64);
+
+impl From<Load> for Row {
+    fn from(load: Load) -> Self {
+        (
+            load.shorts,
+            load.longs,
+            load.parts,
+            load.unread,
+            load.least,
+            load.held,
+            load.given,
+        )
+    }
+}
+
+impl From<Row> for Load {
+    fn from((shorts, longs, parts, unread, least, held, given): Row) -> Self {
+        Self {
+            shorts,
+            longs,
+            parts,
+            unread,
+            least,
+            held,
+            given,
+        }
+    }
+}
+
 impl Load {
     /// Requests under way.
     #[must_use]
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -176,8 +176,8 @@
         &self.drained
     }
 
-    /// Takes in what a peer has under way.
-    pub fn on_loads(&mut self, peer: u64, loads: HashMap<u32, Load>, now: Time) {
+    /// Takes in what a peer has under way, all of it or what has changed.
+    pub fn on_loads(&mut self, peer: u64, loads: HashMap<u32, Load>, whole: bool, now: Time) {
         let before = self.peers.get(&peer);
         for entry in self.entries.values_mut() {
             let short = place::short(entry.rank);
@@ -189,7 +189,16 @@
             let known = told.map_or(load.given.saturating_sub(load.unread), |told| told.given);
             entry.backlog.add(load.given.saturating_sub(known), now);
         }
-        self.peers.insert(peer, Told { at: now, loads });
+        let told = self.peers.entry(peer).or_insert_with(|| Told {
+            at: now,
+            loads: HashMap::new(),
+        });
+        told.at = now;
+        if whole {
+            told.loads = loads;
+        } else {
+            told.loads.extend(loads);
+        }
         self.peers
             .retain(|_, told| now.since(told.at) < LOADS_LIFE);
     }
--- a/crates/catkinusherd/src/gateway/attempt.rs
+++ b/crates/catkinusherd/src/gateway/attempt.rs
@@ -30,7 +30,7 @@
 const DETOURS: u32 = 4;
 
 /// The least time after which a silent upstream is taken for lost, a few passes of a busy engine.
-const LEAST_SILENCE: Duration = Duration::from_millis(900);
+const LEAST_SILENCE: Duration = Duration::from_millis(1200);
 
 /// The multiple of the objective after which a silent upstream is taken for lost.
 const SILENCE: u32 = 2;
--- a/crates/catkinusherd/src/gateway/peers.rs
+++ b/crates/catkinusherd/src/gateway/peers.rs
@@ -46,15 +46,39 @@
     address: SocketAddr,
 }
 
-/// What one node has under way.
+/// What one node has under way: all of it, or what has changed since the last report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Report {
     node: u64,
-    life: u64,
+    life: u32,
     number: u64,
+    whole: bool,
     loads: Vec<(u32, Load)>,
 }
 
+/// The fields of a [`Report`] in their order, as traffic between data centres costs.
+type Row = (u64, u32, u64, bool, Vec<(u32, Load)>);
+
+impl Report {
+    fn write(&self) -> Result<Vec<u8>, ciborium::ser::Error<std::io::Error>> {
+        let mut bytes = Vec::new();
+        let row = (self.node, self.life, self.number, self.whole, &self.loads);
+        ciborium::into_writer(&row, &mut bytes)?;
+        Ok(bytes)
+    }
+
+    fn read(bytes: &[u8]) -> Result<Self, ciborium::de::Error<std::io::Error>> {
+        let (node, life, number, whole, loads) = ciborium::from_reader::<Row, _>(bytes)?;
+        Ok(Self {
+            node,
+            life,
+            number,
+            whole,
+            loads,
+        })
+    }
+}
+
 /// Starts telling and hearing.
 ///
 /// # Errors
@@ -173,20 +197,40 @@
         node: SALT.score("node", state.settings.node.as_str()),
         life: rand::random(),
         number: 0,
+        whole: true,
         loads: Vec::new(),
     };
+    let mut told = HashMap::new();
+    let mut due = state.now();
     loop {
         tokio::select! {
             () = state.changed.notified() => state.timers.after(GATHER).await,
-            () = state.timers.after(RHYTHM) => {}
+            () = state.timers.at(due) => {}
         }
-        report.number += 1;
-        report.loads = state.fleet().loads().into_iter().collect();
-        let mut bytes = Vec::new();
-        if let Err(error) = ciborium::into_writer(&report, &mut bytes) {
-            warn!("peers: a report has no form: {error}");
-            continue;
+        let loads = state.fleet().loads();
+        report.whole = state.now() >= due;
+        if report.whole {
+            due = state.now() + RHYTHM;
+            report.loads = loads.iter().map(|(id, load)| (*id, *load)).collect();
+        } else {
+            report.loads = loads
+                .iter()
+                .filter(|(id, load)| told.get(*id) != Some(*load))
+                .map(|(id, load)| (*id, *load))
+                .collect();
+            if report.loads.is_empty() {
+                continue;
+            }
         }
+        told = loads;
+        report.number += 1;
+        let bytes = match report.write() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                warn!("peers: a report has no form: {error}");
+                continue;
+            }
+        };
         let known = peers.borrow().clone();
         for peer in known {
             if let Err(error) = socket.try_send_to(&bytes, peer) {
@@ -204,7 +248,7 @@
     D: Dialect,
 {
     let mut bytes = vec![0; REPORT_LIMIT];
-    let mut latest = HashMap::<u64, (u64, u64)>::new();
+    let mut latest = HashMap::<u64, (u32, u64)>::new();
     loop {
         let length = match socket.recv_from(&mut bytes).await {
             Ok((length, from)) => {
@@ -224,7 +268,7 @@
                 continue;
             }
         };
-        let Ok(report) = ciborium::from_reader::<Report, _>(&bytes[..length]) else {
+        let Ok(report) = Report::read(&bytes[..length]) else {
             state.count("peer_reports_bad");
             continue;
         };
@@ -236,6 +280,8 @@
         *seen = (report.life, report.number);
         let now = state.now();
         let loads = report.loads.into_iter().collect();
-        state.fleet().on_loads(report.node, loads, now);
+        state
+            .fleet()
+            .on_loads(report.node, loads, report.whole, now);
     }
 }
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -25,7 +25,7 @@
 const PAUSES: u32 = 4;
 
 /// The least pause after which a stream counts as lost.
-const LEAST_PAUSE: Duration = Duration::from_millis(1000);
+const LEAST_PAUSE: Duration = Duration::from_millis(1500);
 
 /// When events came, for the log.
 #[derive(Debug, Default)]
@@ -48,7 +48,8 @@
     Whole,
     Left,
     Late,
-    Lost(Fault, String),
+    Silent,
+    Lost(String),
 }
 
 /// Answers with a stream that is passed on as it comes.
@@ -73,11 +74,13 @@
 {
     let mut events = Events::after(job.ask.resume);
     let mut progress = Progress::default();
+    let mut patient = false;
     let outcome = loop {
         let upstream = live.upstream.clone();
         let address = live.address;
         let head = answer::kept(live.response.headers());
-        let end = pass(&job, &mut live, &mut events, &caller, &mut progress).await;
+        let pause = if patient { job.route.timeout } else { pause(&job) };
+        let end = pass(&job, &mut live, &mut events, &caller, &mut progress, pause).await;
         match end {
             End::Whole => {
                 job.state.fleet().on_success(&upstream);
@@ -89,9 +92,28 @@
                 let _left = caller.send(Err(Broken)).await;
                 break "deadline";
             }
-            End::Lost(fault, detail) => {
+            End::Silent => {
+                job.fail(&upstream, address, Fault::Silent, "silent for too long");
+                if job.again(&upstream).is_err() {
+                    // Its answer may still come, and nothing else can.
+                    patient = true;
+                    continue;
+                }
+                let next = tokio::select! {
+                    next = job.send(events.last().or(job.ask.resume)) => next,
+                    () = caller.closed() => break "caller-left",
+                };
+                match next {
+                    Ok(next) if next.response.status() == http::StatusCode::OK => {
+                        events.cut();
+                        live = next;
+                    }
+                    Ok(_) | Err(_) => patient = true,
+                }
+            }
+            End::Lost(detail) => {
                 drop(live);
-                job.fail(&upstream, address, fault, &detail);
+                job.fail(&upstream, address, Fault::Broken, &detail);
                 events.cut();
                 let next = match job.again(&upstream) {
                     Ok(()) => tokio::select! {
@@ -137,12 +159,12 @@
     events: &mut Events,
     caller: &mpsc::Sender<Result<Bytes, Broken>>,
     progress: &mut Progress,
+    pause: Duration,
 ) -> End
 where
     D: Dialect,
 {
     let timers = job.state.timers.clone();
-    let pause = pause(job);
     let mut heard = job.state.now();
     let mut alarm = std::pin::pin!(timers.at((heard + pause).min(job.deadline)));
     loop {
@@ -152,7 +174,7 @@
                     heard = job.state.now();
                     let whole = match events.push(&bytes) {
                         Ok(whole) => whole,
-                        Err(fault) => return End::Lost(Fault::Broken, fault.to_string()),
+                        Err(fault) => return End::Lost(fault.to_string()),
                     };
                     if whole.is_empty() {
                         continue;
@@ -163,9 +185,9 @@
                         return End::Left;
                     }
                 }
-                Some(Err(error)) => return End::Lost(Fault::Broken, error.to_string()),
+                Some(Err(error)) => return End::Lost(error.to_string()),
                 None if events.is_whole() => return End::Whole,
-                None => return End::Lost(Fault::Broken, "ended within an event".to_owned()),
+                None => return End::Lost("ended within an event".to_owned()),
             },
             () = caller.closed() => return End::Left,
             () = alarm.as_mut() => {
@@ -174,7 +196,7 @@
                     return End::Late;
                 }
                 if now >= heard + pause {
-                    return End::Lost(Fault::Silent, "silent for too long".to_owned());
+                    return End::Silent;
                 }
                 alarm.set(timers.at((heard + pause).min(job.deadline)));
             }
