--- a/crates/catkinusher-core/src/fleet/health.rs
+++ b/crates/catkinusher-core/src/fleet/health.rs
@@ -24,6 +24,8 @@
     Broken,
     /// It refused, though it seemed to have room.
     Refused,
+    /// Another upstream could not reach it, or got no help from it.
+    Absent,
     /// Another upstream has its address.
     Moved,
 }
@@ -44,7 +46,7 @@
 
     pub(super) fn on_fault(&mut self, fault: Fault, now: Time) {
         self.share += (1.0 - self.share) * GAIN;
-        if matches!(fault, Fault::Unreachable | Fault::Silent | Fault::Moved) {
+        if matches!(fault, Fault::Unreachable | Fault::Silent | Fault::Moved | Fault::Absent) {
             let rest = REST * (1 << self.streak.min(4));
             self.streak += 1;
             self.until = now + rest.min(REST_LIMIT);
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -254,6 +254,15 @@
         self.entries.get(id).map(|entry| &entry.upstream)
     }
 
+    /// The upstream that is listed at an address.
+    #[must_use]
+    pub fn at(&self, address: std::net::SocketAddr) -> Option<&UpstreamId> {
+        self.entries
+            .iter()
+            .find(|(_, entry)| entry.upstream.address == address)
+            .map(|(id, _)| id)
+    }
+
     /// Whether an upstream may get requests: it is listed, stays, and its data centre is not drained.
     #[must_use]
     pub fn serves(&self, id: &UpstreamId) -> bool {
--- a/crates/catkinusherd/src/gateway/attempt.rs
+++ b/crates/catkinusherd/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 use tracing::info;
 
 use super::answer;
-use super::dialect::{Dialect, Dispatch, Verdict};
+use super::dialect::{Culprit, Dialect, Dispatch, Verdict};
 use super::handle::Job;
 use super::pool::Link;
 use super::state::State;
@@ -35,6 +35,9 @@
 /// The multiple of the objective after which a silent upstream is taken for lost.
 const SILENCE: u32 = 2;
 
+/// The sends beyond the first that one upstream may get while its helpers fail.
+const REPEATS: u32 = 2;
+
 /// When to come back if no upstream can be had: they restart within seconds.
 const NONE_WAIT: Span = Span::from_millis(500);
 
@@ -91,8 +94,8 @@
 enum Miss {
     /// Nothing was sent; another upstream may be tried.
     Unsent(String),
-    /// The upstream refused, and did not run it.
-    Refused,
+    /// The upstream refused, and did not run it, perhaps as another one failed it.
+    Refused(Option<UpstreamId>),
     /// Another upstream has the address.
     Moved,
     /// It may have run.
@@ -105,6 +108,15 @@
 where
     D: Dialect,
 {
+    /// The upstream that another one names as at fault.
+    fn culprit(&self, culprit: &Culprit) -> Option<UpstreamId> {
+        let fleet = self.fleet();
+        match culprit {
+            Culprit::Named(id) => fleet.get(id).map(|one| one.id.clone()),
+            Culprit::At(address) => fleet.at(*address).cloned(),
+        }
+    }
+
     /// Keeps a connection once its request has left it whole.
     pub(super) fn keep(
         self: &Arc<Self>,
@@ -155,7 +167,13 @@
                     self.fail(&upstream, address, Fault::Moved, "another has the address");
                     detours += 1;
                 }
-                Err(Miss::Refused) => {
+                Err(Miss::Refused(Some(culprit))) => {
+                    // The same upstream may still serve it, with other helpers.
+                    self.fail(&culprit, address, Fault::Absent, "it failed as a helper");
+                    self.again(&culprit)
+                        .map_err(|_reason| self.refused(REFUSED_WAIT))?;
+                }
+                Err(Miss::Refused(None)) => {
                     self.fail(&upstream, address, Fault::Refused, "it refused");
                     self.again(&upstream)
                         .map_err(|_reason| self.refused(REFUSED_WAIT))?;
@@ -276,14 +294,15 @@
         }
         let request = self.request(upstream, left, &helpers, resume);
         self.trail.on_evidence(Evidence::Leaving);
-        self.attempts += 1;
+        let first = self.sent.insert(upstream.clone());
+        self.sends += 1;
         let silence = self.silence();
         let basis = &placement.basis;
         info!(
             event = "send",
             request = self.name(),
             upstream = %upstream,
-            attempt = self.attempts,
+            attempt = self.sends,
             helpers = ?placement.helpers.iter().map(|(id, _)| id.as_str()).collect::<Vec<_>>(),
             fresh,
             choices = basis.choices,
@@ -308,7 +327,10 @@
                 let detail = fault.into_error().to_string();
                 if unsent {
                     self.trail.on_evidence(Evidence::Unsent);
-                    self.attempts -= 1;
+                    self.sends -= 1;
+                    if first {
+                        self.sent.remove(upstream);
+                    }
                     return Err(Miss::Unsent(detail));
                 }
                 return Err(Miss::Lost(Fault::Broken, detail));
@@ -329,9 +351,10 @@
                     held,
                 })
             }
-            Verdict::NotRun => {
+            Verdict::NotRun(culprit) => {
                 self.trail.on_evidence(Evidence::Refused);
-                Err(Miss::Refused)
+                let culprit = culprit.and_then(|culprit| self.state.culprit(&culprit));
+                Err(Miss::Refused(culprit.filter(|culprit| culprit != upstream)))
             }
             Verdict::Moved => {
                 self.trail.on_evidence(Evidence::Refused);
@@ -368,10 +391,16 @@
         request
     }
 
+    /// The upstreams it was sent to, or more if one got it again and again.
+    fn attempts(&self) -> u32 {
+        let upstreams = self.sent.len() as u32;
+        upstreams.max(self.sends.saturating_sub(REPEATS))
+    }
+
     /// How long an upstream may be silent before another is tried.
     fn silence(&self) -> Duration {
         let left = self.left();
-        if !self.repeats() || self.attempts >= self.route.attempts {
+        if !self.repeats() || self.sent.len() >= self.route.attempts as usize {
             return left;
         }
         let objective = self.route.objective;
@@ -392,7 +421,7 @@
     ) {
         let now = self.state.now();
         self.state.fleet().on_fault(upstream, fault, now);
-        if fault != Fault::Refused {
+        if !matches!(fault, Fault::Refused | Fault::Absent) {
             self.state.pool.forget(address);
         }
         if !self.avoid.contains(upstream) {
@@ -417,9 +446,9 @@
         let failure = Failure {
             idempotent: self.repeats(),
             outcome: self.trail.outcome(),
-            sends: self.attempts,
+            sends: self.sends,
             delivered: false,
-            attempts: self.attempts,
+            attempts: self.attempts(),
             suspects: self.avoid.clone(),
             wait: None,
             needs: Span::new(LEAST_TIME),
@@ -437,7 +466,7 @@
                     request = self.name(),
                     upstream = %upstream,
                     reason = ?reason,
-                    attempts = self.attempts,
+                    sends = self.sends,
                 );
                 Err(reason)
             }
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -52,13 +52,22 @@
     pub resume: Option<u64>,
 }
 
+/// The upstream that stood in the way of a request, as another one names it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Culprit {
+    /// By its name.
+    Named(UpstreamId),
+    /// By its address.
+    At(SocketAddr),
+}
+
 /// What the head of an upstream's answer proves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Verdict {
     /// It answers the request, well or badly.
     Answer,
-    /// The upstream did not run the request.
-    NotRun,
+    /// The upstream did not run the request, perhaps as another one failed it.
+    NotRun(Option<Culprit>),
     /// Another upstream has the address, and did not run the request.
     Moved,
     /// It is no answer to this request.
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -1,5 +1,6 @@
 //! One request's way from its head to its answer.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,7 +50,10 @@
     /// How long the caller waits for the first sign.
     pub(super) patience: Duration,
     pub(super) trail: Trail,
-    pub(super) attempts: u32,
+    /// The upstreams that its bytes went to.
+    pub(super) sent: BTreeSet<UpstreamId>,
+    /// How often its bytes went to any.
+    pub(super) sends: u32,
     pub(super) avoid: Vec<UpstreamId>,
 }
 
@@ -161,7 +165,8 @@
         age: route.timeout.saturating_sub(time),
         patience: time.min(route.patience()),
         trail: Trail::new(),
-        attempts: 0,
+        sent: BTreeSet::new(),
+        sends: 0,
         avoid: Vec::new(),
         body: Bytes::new(),
         state: Arc::clone(state),
@@ -288,7 +293,7 @@
             request = self.name(),
             route = &*self.route.name,
             status = status.as_u16(),
-            attempts = self.attempts,
+            sends = self.sends,
             ms = self.state.now().since(self.received).as_millis() as u64,
         );
     }
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 mod stop;
 mod watch;
 
-pub use self::dialect::{Ask, Dialect, Dispatch, Malformed, Source, Verdict};
+pub use self::dialect::{Ask, Culprit, Dialect, Dispatch, Malformed, Source, Verdict};
 pub use self::settings::Settings;
 
 use std::sync::Arc;
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -144,7 +144,7 @@
         request = job.name(),
         route = &*job.route.name,
         outcome,
-        attempts = job.attempts,
+        sends = job.sends,
         prompt = job.ask.prompt.get(),
         last = events.last(),
         first_ms = progress.first.map(since),
