--- a/crates/catkinusher-core/src/directory/mod.rs
+++ b/crates/catkinusher-core/src/directory/mod.rs
@@ -189,11 +189,7 @@
         let mut keys = HashMap::new();
         for (customer, secrets) in customers.unwrap_or_default() {
             let customer = Arc::new(customer);
-            keys.extend(
-                secrets
-                    .into_iter()
-                    .map(|key| (key, Arc::clone(&customer))),
-            );
+            keys.extend(secrets.into_iter().map(|key| (key, Arc::clone(&customer))));
         }
         let services = services
             .into_iter()
--- a/crates/catkinusher-core/src/fleet/health.rs
+++ b/crates/catkinusher-core/src/fleet/health.rs
@@ -46,7 +46,10 @@
 
     pub(super) fn on_fault(&mut self, fault: Fault, now: Time) {
         self.share += (1.0 - self.share) * GAIN;
-        if matches!(fault, Fault::Unreachable | Fault::Silent | Fault::Moved | Fault::Absent) {
+        if matches!(
+            fault,
+            Fault::Unreachable | Fault::Silent | Fault::Moved | Fault::Absent
+        ) {
             let rest = REST * (1 << self.streak.min(4));
             self.streak += 1;
             self.until = now + rest.min(REST_LIMIT);
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -30,6 +30,12 @@
 /// entries of upstreams that live are back within two seconds of its return.
 const LAPSE_GRACE: Duration = Duration::from_millis(2200);
 
+/// The window in which requests to a cold upstream are counted.
+const COLD_WINDOW: Duration = Duration::from_millis(1100);
+
+/// The nodes that a node assumes to share a cold upstream, as it may not have heard of all.
+const LEAST_NODES: usize = 12;
+
 #[derive(Debug, Clone)]
 struct Entry {
     upstream: Upstream,
@@ -79,7 +85,7 @@
     peers: HashMap<u64, Told>,
     work: HashMap<u64, (UpstreamId, Cost, bool)>,
     next: u64,
-    sizing: BTreeMap<ServiceId, (place::Sizing, place::Sizing)>,
+    sizing: BTreeMap<ServiceId, place::Sizing>,
 }
 
 impl Fleet {
@@ -199,8 +205,7 @@
         } else {
             told.loads.extend(loads);
         }
-        self.peers
-            .retain(|_, told| now.since(told.at) < LOADS_LIFE);
+        self.peers.retain(|_, told| now.since(told.at) < LOADS_LIFE);
     }
 
     /// What this node has under way, by the upstreams' short names.
@@ -358,9 +363,3 @@
         (recent as f64) < share
     }
 }
-
-/// The window in which requests to a cold upstream are counted.
-const COLD_WINDOW: Duration = Duration::from_millis(1100);
-
-/// The nodes that a node assumes to share a cold upstream, as it may not have heard of all.
-const LEAST_NODES: usize = 12;
--- /dev/null
+++ b/crates/catkinusher-core/src/fleet/place/long.rs
@@ -0,0 +1,189 @@
+//! Placing a long prompt on engines that read, answered by one that writes.
+//!
+//! An engine that reads holds up the answers that it writes. So the answers of
+//! long prompts gather on few engines, and the others read for them. Engines
+//! read the newest part first, so a prompt that meets newer ones on one of its
+//! engines only waits there for all. The more engines each prompt takes, the
+//! more alike their orders are. A prompt whose part would hold up a writer for
+//! too long answers from a reader.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use super::{Basis, Candidate, Demand, Overload, Placement, Policy};
+use crate::engine::Rates;
+use crate::fleet::{Cost, Share};
+use crate::units::Tokens;
+
+/// What a short answer weighs that a long prompt beside it would hold up, in milliseconds of reading.
+const CROWD_WEIGHT: f64 = 60.0;
+
+/// What an answer of a long prompt weighs, in milliseconds of reading.
+const ANSWER_WEIGHT: f64 = 60.0;
+
+/// What answers of long prompts weigh against an engine that is to read, in milliseconds of reading.
+const WRITES_WEIGHT: f64 = 300.0;
+
+/// What an engine that fails all requests is behind by, in milliseconds of reading.
+const FAILING_WEIGHT: f64 = 500.0;
+
+/// A part shorter than this share of another is let go first.
+const SHORTER: f64 = 0.8;
+
+/// The multiple of its reading time that a prompt should have left to be on time.
+const MARGIN: f64 = 1.2;
+
+/// The reading, in milliseconds, that an engine has still to do when it counts as idle: about a pass.
+const IDLE: u64 = 60;
+
+/// What a late prompt leaves of its caller's patience beyond twice its reading time.
+const LAST_CALL: Duration = Duration::from_millis(1500);
+
+/// When a prompt that waits looks again, less than half a pass.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+
+/// When engines have room for a long prompt again, about the length of its reading and its answer.
+const RETRY_LONG: Duration = Duration::from_secs(4);
+
+/// One decision on a long prompt.
+pub(super) struct Long<'a> {
+    /// The engines for long prompts, those that write first.
+    pub(super) engines: &'a [Candidate<'a>],
+    /// How many of them write.
+    pub(super) writers: usize,
+    pub(super) rates: &'a Rates,
+    pub(super) demand: &'a Demand,
+    pub(super) policy: &'a Policy,
+    /// How long one engine alone would read.
+    pub(super) reading: Duration,
+}
+
+impl Long<'_> {
+    /// Chooses the engines, unless the prompt should wait.
+    pub(super) fn place<R>(&self, rng: &mut R) -> Result<Placement, Overload>
+    where
+        R: Rng,
+    {
+        let (writing, readers) = self.engines.split_at(self.writers);
+        let most = if self.rates.joint {
+            self.policy.helpers.min(readers.len())
+        } else {
+            0
+        };
+        let own = self.reading > self.policy.burden * (most as u32 + 1);
+        let groups = if own {
+            [readers, writing]
+        } else {
+            [writing, readers]
+        };
+        let first = groups
+            .into_iter()
+            .find_map(|group| self.first(group, rng))
+            .ok_or(Overload::Full(RETRY_LONG))?;
+        let helpers = self.helpers(readers, first, most);
+        let part = self.reading / (helpers.len() as u32 + 1);
+        let engines = || helpers.iter().copied().chain([first]);
+        if self.waits(part, engines()) {
+            return Err(Overload::Behind(LOOK_AGAIN));
+        }
+        let wait = engines()
+            .map(|one| one.load.unread)
+            .max()
+            .unwrap_or_default();
+        let cost = |share, held| Cost {
+            share,
+            reading: part,
+            held,
+        };
+        Ok(Placement {
+            first: first.id.clone(),
+            cost: cost(Share::Long, self.whole()),
+            helpers: helpers
+                .iter()
+                .map(|one| (one.id.clone(), cost(Share::Part, Tokens::ZERO)))
+                .collect(),
+            basis: Basis {
+                choices: self.engines.len(),
+                shorts: 0,
+                writers: self.writers,
+                load: first.load,
+                wait: Duration::from_millis(wait),
+            },
+        })
+    }
+
+    fn whole(&self) -> Tokens {
+        self.demand.prompt + self.demand.answer
+    }
+
+    fn score(one: &Candidate<'_>) -> f64 {
+        one.load.unread as f64
+            + f64::from(one.load.longs) * ANSWER_WEIGHT
+            + f64::from(one.load.shorts) * CROWD_WEIGHT
+            + one.entry.health.failing() * FAILING_WEIGHT
+    }
+
+    /// The engine of a group that answers, if one has room.
+    fn first<'a, R>(&self, group: &'a [Candidate<'a>], rng: &mut R) -> Option<&'a Candidate<'a>>
+    where
+        R: Rng,
+    {
+        let fits = |one: &&Candidate<'_>| {
+            one.load.held + self.whole().get() <= self.rates.memory.get()
+                && one.load.answers() < self.rates.slots
+        };
+        group
+            .iter()
+            .filter(fits)
+            .map(|one| (Self::score(one) + rng.random_range(0.0..1.0), one))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, one)| one)
+    }
+
+    /// The engines that read parts, those without answers first.
+    fn helpers<'a>(
+        &self,
+        readers: &'a [Candidate<'a>],
+        first: &Candidate<'_>,
+        most: usize,
+    ) -> Vec<&'a Candidate<'a>> {
+        let calm = |one: &Candidate<'_>| one.load.shorts == 0;
+        let score = |one: &Candidate<'_>| {
+            Self::score(one) + f64::from(one.load.longs.min(1)) * WRITES_WEIGHT
+        };
+        let mut others: Vec<&Candidate<'_>> =
+            readers.iter().filter(|one| one.id != first.id).collect();
+        others.sort_by(|a, b| {
+            let calmer = calm(b).cmp(&calm(a));
+            calmer.then(score(a).total_cmp(&score(b)))
+        });
+        let parts = self.reading.as_secs_f64() / self.policy.part.as_secs_f64();
+        let wanted = (parts.ceil() as usize).max(2) - 1;
+        let free = others.iter().filter(|one| calm(one)).count().max(1);
+        others.truncate(wanted.min(most).min(free));
+        others
+    }
+
+    /// Whether the prompt should wait for what these engines read now.
+    ///
+    /// As the newest part goes first, a prompt that waits until no shorter one
+    /// is being read makes that the order of the shortest first. One that is
+    /// late in any case goes when the engines have nothing else to read, or
+    /// when its caller is about to leave.
+    fn waits<'a, I>(&self, part: Duration, mut engines: I) -> bool
+    where
+        I: Iterator<Item = &'a Candidate<'a>>,
+    {
+        let demand = self.demand;
+        if demand.waited + part * 2 + LAST_CALL >= demand.patience {
+            return false;
+        }
+        let shorter = part.as_millis() as f64 * SHORTER;
+        if demand.spent + part.mul_f64(MARGIN) <= demand.objective {
+            engines.any(|one| one.load.least > 0 && (one.load.least as f64) < shorter)
+        } else {
+            engines.any(|one| one.load.unread > IDLE)
+        }
+    }
+}
--- a/crates/catkinusher-platform/src/form/mod.rs
+++ b/crates/catkinusher-platform/src/form/mod.rs
@@ -31,6 +31,7 @@
     .remove(b'~');
 
 /// Escapes a kind or a name for a path or a query.
+#[must_use]
 pub fn escape(text: &str) -> impl std::fmt::Display {
     utf8_percent_encode(text, ESCAPED)
 }
--- a/crates/catkinusherd/src/gateway/answer.rs
+++ b/crates/catkinusherd/src/gateway/answer.rs
@@ -37,12 +37,12 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Events(events) => events
-                .poll_recv(context)
+                .poll_recv(cx)
                 .map(|event| event.map(|event| event.map(Frame::data))),
         }
     }
--- a/crates/catkinusherd/src/gateway/attempt.rs
+++ b/crates/catkinusherd/src/gateway/attempt.rs
@@ -156,7 +156,10 @@
             let (placement, address, helpers) = self.turn().await?;
             let upstream = placement.first.clone();
             let held = self.hold(&placement);
-            match self.exchange(&placement, address, helpers, held, resume).await {
+            match self
+                .exchange(&placement, address, helpers, held, resume)
+                .await
+            {
                 Ok(live) => return Ok(live),
                 Err(Miss::Late) => return Err(self.late()),
                 Err(Miss::Unsent(detail)) => {
@@ -225,7 +228,10 @@
     }
 
     fn place(&self) -> Result<(Placement, SocketAddr, Vec<SocketAddr>), Overload> {
-        let service = self.directory.service(&self.service).ok_or(Overload::None)?;
+        let service = self
+            .directory
+            .service(&self.service)
+            .ok_or(Overload::None)?;
         let demand = Demand {
             prompt: self.ask.prompt,
             answer: self.ask.answer,
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -130,9 +130,7 @@
     let trusted = state.trusted();
     let directory = state.view().directory.clone();
     let away = || Refusal::NoConfiguration { after: AWAY_WAIT };
-    let directory = directory
-        .filter(|_| trusted)
-        .ok_or_else(|| fail(away()))?;
+    let directory = directory.filter(|_| trusted).ok_or_else(|| fail(away()))?;
     let host = head
         .headers
         .get(HOST)
@@ -154,7 +152,9 @@
         .service(&mut rand::rng())
         .ok_or_else(|| fail(Refusal::UnknownRoute))?
         .clone();
-    let time = ask.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let time = ask
+        .patience
+        .map_or(route.timeout, |patience| patience.min(route.timeout));
     let limit = directory.limits().body;
     let job = Job {
         route: Arc::clone(route),
@@ -266,14 +266,19 @@
         match whole {
             Ok(whole) => {
                 self.state.fleet().on_success(&upstream);
-                let life = answer::kept(&head.headers);
-                self.state.keep(address, sender, life);
+                let idle = answer::kept(&head.headers);
+                self.state.keep(address, sender, idle);
                 let mut headers = head.headers;
                 answer::end_to_end(&mut headers);
                 Ok((head.status, headers, whole.to_bytes()))
             }
             Err(detail) => {
-                self.fail(&upstream, address, catkinusher_core::fleet::Fault::Broken, &detail);
+                self.fail(
+                    &upstream,
+                    address,
+                    catkinusher_core::fleet::Fault::Broken,
+                    &detail,
+                );
                 match self.again(&upstream) {
                     Ok(()) => Err(None),
                     Err(_reason) => Err(Some(Refusal::AnswerBroken {
--- a/crates/catkinusherd/src/gateway/peers.rs
+++ b/crates/catkinusherd/src/gateway/peers.rs
@@ -122,7 +122,11 @@
     match tokio::time::timeout(RETRY_PAUSE, removed).await {
         Ok(Ok(_there)) => {}
         Ok(Err(error)) => warn!(event = "peers", outcome = "not-removed", %error),
-        Err(_elapsed) => warn!(event = "peers", outcome = "not-removed", error = "no answer"),
+        Err(_elapsed) => warn!(
+            event = "peers",
+            outcome = "not-removed",
+            error = "no answer"
+        ),
     }
 }
 
--- a/crates/catkinusherd/src/gateway/pool.rs
+++ b/crates/catkinusherd/src/gateway/pool.rs
@@ -30,7 +30,7 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
 
 /// How much sooner than the upstream an idle connection is given up.
-const IDLE_MARGIN: Duration = Duration::from_millis(1000);
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
 /// The most idle connections to one upstream.
 const IDLE_COUNT: usize = 4;
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -39,7 +39,9 @@
     fn on_event(&mut self, now: Time) {
         self.first.get_or_insert(now);
         let last = self.last.replace(now);
-        self.pause = self.pause.max(last.map_or(Duration::ZERO, |last| now.since(last)));
+        self.pause = self
+            .pause
+            .max(last.map_or(Duration::ZERO, |last| now.since(last)));
     }
 }
 
@@ -79,7 +81,11 @@
         let upstream = live.upstream.clone();
         let address = live.address;
         let head = answer::kept(live.response.headers());
-        let pause = if patient { job.route.timeout } else { pause(&job) };
+        let pause = if patient {
+            job.route.timeout
+        } else {
+            pause(&job)
+        };
         let end = pass(&job, &mut live, &mut events, &caller, &mut progress, pause).await;
         match end {
             End::Whole => {
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! What all parts of a gateway share.
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -118,7 +119,8 @@
     pub(super) fn counters(&self) -> String {
         let mut text = String::new();
         for (name, count) in lock(&self.counts).iter() {
-            text.push_str(&format!("catkinusher_{name} {count}\n"));
+            // Writing to a string cannot fail.
+            let _written = writeln!(text, "catkinusher_{name} {count}");
         }
         text
     }
--- a/crates/catkinusherd/src/gateway/stop.rs
+++ b/crates/catkinusherd/src/gateway/stop.rs
@@ -39,7 +39,11 @@
     }
     let begun = state.now();
     let limit = begun + state.settings.grace.saturating_sub(RESERVE);
-    info!(event = "stop", outcome = "begun", under_way = state.under_way());
+    info!(
+        event = "stop",
+        outcome = "begun",
+        under_way = state.under_way()
+    );
     state.stopping.cancel();
     state.timers.after(LEAVING).await;
     state.closing.cancel();
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -1,6 +1,7 @@
 //! Following the store: configuration, upstreams and drained data centres.
 
 use std::collections::BTreeSet;
+use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,7 +25,7 @@
 const PAUSE_LIMIT: Duration = Duration::from_millis(600);
 
 /// How long after the store's return a missing upstream may only have lapsed.
-const RETURN_SPAN: Duration = Duration::from_millis(2000);
+const RETURN_SPAN: Duration = Duration::from_secs(2);
 
 /// What follows one kind of object.
 trait Follow: Send + 'static {
@@ -71,13 +72,9 @@
     let drained = Drained::<D, S> {
         state: Arc::clone(state),
         zones: BTreeSet::new(),
-        source: source.clone(),
+        source: PhantomData,
     };
-    tokio::spawn(follow::<D, S, _>(
-        Arc::clone(state),
-        store.clone(),
-        drained,
-    ));
+    tokio::spawn(follow::<D, S, _>(Arc::clone(state), store.clone(), drained));
 }
 
 async fn follow<D, S, F>(state: Arc<State<D>>, store: Store<S::Form>, mut what: F)
@@ -95,7 +92,12 @@
         match outcome {
             Ok(next) => {
                 if failures > 0 {
-                    info!(event = "store", kind = what.kind(), outcome = "regained", failures);
+                    info!(
+                        event = "store",
+                        kind = what.kind(),
+                        outcome = "regained",
+                        failures
+                    );
                     returned = Some(state.now());
                 }
                 failures = 0;
@@ -228,7 +230,12 @@
         match self.source.upstream(name, value) {
             Ok(upstream) => Some(upstream),
             Err(fault) => {
-                warn!(event = "upstream", upstream = name, outcome = "bad-entry", fault);
+                warn!(
+                    event = "upstream",
+                    upstream = name,
+                    outcome = "bad-entry",
+                    fault
+                );
                 None
             }
         }
@@ -238,7 +245,12 @@
         if let Ok(id) = name.parse::<UpstreamId>() {
             let now = self.state.now();
             self.state.fleet().on_removed(&id, outage, now);
-            info!(event = "upstream", upstream = name, outcome = "removed", outage);
+            info!(
+                event = "upstream",
+                upstream = name,
+                outcome = "removed",
+                outage
+            );
         }
     }
 }
@@ -296,7 +308,7 @@
 struct Drained<D, S> {
     state: Arc<State<D>>,
     zones: BTreeSet<DataCentreId>,
-    source: S,
+    source: PhantomData<S>,
 }
 
 impl<D, S> Drained<D, S>
@@ -305,7 +317,6 @@
     S: Source,
 {
     fn update(&self) {
-        let _source = &self.source;
         info!(event = "drained", data_centres = ?self.zones);
         self.state.fleet().on_drained(self.zones.clone());
     }
--- a/crates/catkinusherd/src/log/mod.rs
+++ b/crates/catkinusherd/src/log/mod.rs
@@ -34,15 +34,15 @@
 struct Lossy;
 
 impl std::io::Write for Lossy {
-    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
-        match rustix::io::write(rustix::stdio::stdout(), line) {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        match rustix::io::write(rustix::stdio::stdout(), buf) {
             Ok(_written) => {}
             // A reader that is gone or behind must not hold up requests.
             Err(_full) => {
                 DROPPED.fetch_add(1, Ordering::Relaxed);
             }
         }
-        Ok(line.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> std::io::Result<()> {
