--- a/crates/catkinusher-core/src/fleet/place/types.rs
+++ b/crates/catkinusher-core/src/fleet/place/types.rs
@@ -36,9 +36,9 @@
             // Half of what a short stream bears between two events.
             long: Duration::from_millis(150),
             // Leaves room for what other nodes place at the same moment.
-            fill: 0.65,
-            // About a pass, below which a part gains nothing.
-            part: Duration::from_millis(50),
+            fill: 0.72,
+            // Smaller parts disturb more engines than they gain.
+            part: Duration::from_millis(300),
             // With a pass it stays within the pauses of most answers.
             burden: Duration::from_millis(300),
             // The most that an engine takes on its list.
@@ -47,8 +47,8 @@
             together: 4,
             // A few requests wait for less than a pass.
             waiting: 2,
-            // About the length of an answer.
-            hold: Duration::from_secs(2),
+            // Some passes; longer holds engines back that long prompts need.
+            hold: Duration::from_millis(700),
         }
     }
 }
