Serve counters and latency histograms on the metrics address

Cause: on-call engineers had logs and five bare counters. Change: prometheus-client registry with requests by kind and end, calls by target and result, histograms of first events and whole answers, and what a node believes.

--- a/crates/catkinusher-core/src/fleet/health.rs
+++ b/crates/catkinusher-core/src/fleet/health.rs
@@ -30,6 +30,21 @@
     Moved,
 }
 
+impl Fault {
+    /// Its name, for logs and counters.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Silent => "silent",
+            Self::Broken => "broken",
+            Self::Refused => "refused",
+            Self::Absent => "absent",
+            Self::Moved => "moved",
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Health {
     share: f64,
--- a/crates/catkinusher-core/tests/engines/mod.rs
+++ b/crates/catkinusher-core/tests/engines/mod.rs
@@ -257,6 +257,7 @@
 }
 
 /// Tries to send a request; tells whether it waits no more.
+#[expect(clippy::too_many_arguments, reason = "the whole world takes part")]
 fn go(
     index: usize,
     now: u64,
--- a/crates/catkinusher-core/tests/fleet.rs
+++ b/crates/catkinusher-core/tests/fleet.rs
@@ -5,7 +5,9 @@
 
 use catkinusher_core::directory::Service;
 use catkinusher_core::engine::Rates;
-use catkinusher_core::fleet::{Demand, Fault, Fleet, Load, Overload, Placement, Policy, Upstream};
+use catkinusher_core::fleet::{
+    Cost, Demand, Fault, Fleet, Load, Overload, Placement, Policy, Upstream,
+};
 use catkinusher_core::time::Time;
 use catkinusher_core::units::{Rate, Tokens};
 use rand::SeedableRng;
@@ -212,7 +214,7 @@
         let mut all = fleet.clone();
         for number in 0..2 {
             let id = upstream(number).id;
-            all.begin(&id, Default::default(), ms(0));
+            all.begin(&id, Cost::default(), ms(0));
         }
         all.loads().into_keys().collect()
     };
--- a/crates/catkinusherd/src/gateway/attempt.rs
+++ b/crates/catkinusherd/src/gateway/attempt.rs
@@ -349,6 +349,7 @@
         match verdict {
             Verdict::Answer => {
                 self.trail.on_evidence(Evidence::Answered);
+                self.state.metrics.on_call("upstream", "answered");
                 Ok(Live {
                     response,
                     upstream: upstream.clone(),
@@ -427,6 +428,7 @@
     ) {
         let now = self.state.now();
         self.state.fleet().on_fault(upstream, fault, now);
+        self.state.metrics.on_call("upstream", fault.name());
         if !matches!(fault, Fault::Refused | Fault::Absent) {
             self.state.pool.forget(address);
         }
@@ -437,7 +439,7 @@
             event = "fault",
             request = self.name(),
             upstream = %upstream,
-            fault = ?fault,
+            fault = fault.name(),
             detail,
             outcome = %self.trail.outcome(),
         );
--- a/crates/catkinusherd/src/gateway/front.rs
+++ b/crates/catkinusherd/src/gateway/front.rs
@@ -128,7 +128,7 @@
 
 fn answer<D>(state: &State<D>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let (status, text) = match request.uri().path() {
-        "/metrics" => (StatusCode::OK, state.counters()),
+        "/metrics" => (StatusCode::OK, state.report()),
         _ if state.is_ready() => (StatusCode::OK, String::new()),
         _ => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
     };
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -104,7 +104,7 @@
     let job = match admit(&state, head, body, received).await {
         Ok(job) => job,
         Err((refusal, id)) => {
-            note(&state, &id, &refusal, received);
+            note(&state, "unknown", &id, &refusal, received);
             return answer::refusal(&state.dialect, &refusal);
         }
     };
@@ -218,7 +218,7 @@
         let live = match job.send(job.ask.resume).await {
             Ok(live) => live,
             Err(refusal) => {
-                note(&state, job.name(), &refusal, job.received);
+                note(&state, job.kind(), job.name(), &refusal, job.received);
                 return answer::refusal(&state.dialect, &refusal);
             }
         };
@@ -231,7 +231,7 @@
                 return answer::whole(status, headers, body);
             }
             Err(Some(refusal)) => {
-                note(&state, job.name(), &refusal, job.received);
+                note(&state, job.kind(), job.name(), &refusal, job.received);
                 return answer::refusal(&state.dialect, &refusal);
             }
             // Another attempt may still succeed.
@@ -292,27 +292,44 @@
 
     /// Logs that the caller got an upstream's answer.
     pub(super) fn told(&self, status: StatusCode) {
-        self.state.count("answers");
+        let took = self.state.now().since(self.received);
+        self.state.metrics.on_end(self.kind(), "answer", took);
         info!(
             event = "answer",
             request = self.name(),
             route = &*self.route.name,
             status = status.as_u16(),
             sends = self.sends,
-            ms = self.state.now().since(self.received).as_millis() as u64,
+            ms = took.as_millis() as u64,
         );
     }
+
+    /// The kind of the request, for counters.
+    pub(super) fn kind(&self) -> &'static str {
+        match (self.route.streams(), self.repeats()) {
+            (true, _) => "stream",
+            (false, true) => "safe",
+            (false, false) => "once",
+        }
+    }
 }
 
 /// Logs why a request is refused or has failed.
-pub(super) fn note<D>(state: &State<D>, id: &str, refusal: &Refusal, received: Time) {
-    state.count(refusal.slug());
+pub(super) fn note<D>(
+    state: &State<D>,
+    kind: &'static str,
+    id: &str,
+    refusal: &Refusal,
+    received: Time,
+) {
+    let took = state.now().since(received);
+    state.metrics.on_end(kind, refusal.slug(), took);
     info!(
         event = "refusal",
         request = id,
         reason = refusal.slug(),
         detail = %refusal,
         outcome = %refusal.outcome(),
-        ms = state.now().since(received).as_millis() as u64,
+        ms = took.as_millis() as u64,
     );
 }
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/metrics.rs
@@ -0,0 +1,138 @@
+//! Counters and latency histograms of a gateway, in the usual text form.
+//!
+//! [docs/OPERATIONS.md](../../../../docs/OPERATIONS.md) says what each is for.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use tracing::warn;
+
+use crate::log;
+
+/// The upper bounds of the latency histograms in seconds, round the objectives of the users' services.
+const BUCKETS: [f64; 12] = [
+    0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 10.0, 15.0,
+];
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ended {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+/// What became of one send to an upstream, or of one call to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Called {
+    to: &'static str,
+    result: &'static str,
+}
+
+/// What a node believes at the moment of a reading.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Beliefs {
+    pub(super) revision: u64,
+    pub(super) age: Option<Duration>,
+    pub(super) upstreams: usize,
+    pub(super) nodes: usize,
+    pub(super) open: u64,
+}
+
+/// The metrics of one gateway.
+#[derive(Debug)]
+pub(super) struct Metrics {
+    registry: Registry,
+    ended: Family<Ended, Counter>,
+    called: Family<Called, Counter>,
+    first: Histogram,
+    whole: Histogram,
+    revision: Gauge,
+    age: Gauge,
+    upstreams: Gauge,
+    nodes: Gauge,
+    open: Gauge,
+    dropped: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("catkinusher"),
+            ended: Family::default(),
+            called: Family::default(),
+            first: Histogram::new(BUCKETS),
+            whole: Histogram::new(BUCKETS),
+            revision: Gauge::default(),
+            age: Gauge::default(),
+            upstreams: Gauge::default(),
+            nodes: Gauge::default(),
+            open: Gauge::default(),
+            dropped: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let Self { registry, .. } = self;
+        registry.register("requests", "Requests by kind and end", self.ended.clone());
+        registry.register("calls", "Calls by target and result", self.called.clone());
+        let help = "Seconds to the first event of a stream";
+        registry.register("first_event_seconds", help, self.first.clone());
+        let help = "Seconds to the end of an answer";
+        registry.register("answer_seconds", help, self.whole.clone());
+        let help = "Revision of the configuration in force";
+        registry.register("revision", help, self.revision.clone());
+        let help = "Milliseconds since the configuration was confirmed, -1 if never";
+        registry.register("confirmed_age_ms", help, self.age.clone());
+        registry.register("upstreams", "Upstreams listed", self.upstreams.clone());
+        let help = "Nodes heard of, this one counted";
+        registry.register("nodes", help, self.nodes.clone());
+        registry.register("open_requests", "Requests under way", self.open.clone());
+        let help = "Log lines dropped as nobody took them";
+        registry.register("log_dropped", help, self.dropped.clone());
+    }
+
+    /// Notes how a request ended.
+    pub(super) fn on_end(&self, kind: &'static str, outcome: &'static str, took: Duration) {
+        self.ended.get_or_create(&Ended { kind, outcome }).inc();
+        if matches!(outcome, "answer" | "whole") {
+            self.whole.observe(took.as_secs_f64());
+        }
+    }
+
+    /// Notes when the first event of a stream went to its caller.
+    pub(super) fn on_first(&self, took: Duration) {
+        self.first.observe(took.as_secs_f64());
+    }
+
+    /// Notes what became of a call.
+    pub(super) fn on_call(&self, to: &'static str, result: &'static str) {
+        self.called.get_or_create(&Called { to, result }).inc();
+    }
+
+    /// All metrics with what is believed now, as text.
+    pub(super) fn text(&self, beliefs: &Beliefs) -> String {
+        let whole = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.revision.set(whole(beliefs.revision));
+        let age = beliefs.age.map_or(-1, |age| whole(age.as_millis() as u64));
+        self.age.set(age);
+        self.upstreams.set(whole(beliefs.upstreams as u64));
+        self.nodes.set(whole(beliefs.nodes as u64));
+        self.open.set(whole(beliefs.open));
+        self.dropped.set(whole(log::dropped()));
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            warn!("metrics: cannot be written: {error}");
+        }
+        text
+    }
+}
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod clock;
 mod front;
 mod handle;
+mod metrics;
 mod peers;
 mod pool;
 mod relay;
@@ -31,7 +32,7 @@
 use anyhow::Context;
 use catkinusher_platform::Store;
 use tokio::net::TcpListener;
-use tracing::info;
+use tracing::{info, warn};
 
 use self::state::State;
 
@@ -77,13 +78,13 @@
             callers = %settings.callers,
             version = env!("CARGO_PKG_VERSION"),
         );
-        let metrics = match settings.metrics {
-            Some(address) => Some(bind(address).await?),
-            None => None,
-        };
         front::health(Arc::clone(&self.state), ready);
-        if let Some(listener) = metrics {
-            front::health(Arc::clone(&self.state), listener);
+        if let Some(address) = settings.metrics {
+            match bind(address).await {
+                Ok(listener) => front::health(Arc::clone(&self.state), listener),
+                // Requests come first; the metrics also stand at the balancer's address.
+                Err(error) => warn!(event = "metrics", outcome = "not-served", "{error:#}"),
+            }
         }
         watch::start(&self.state, &self.store, &self.source);
         peers::start(&self.state, &self.store, &self.source).await?;
--- a/crates/catkinusherd/src/gateway/peers.rs
+++ b/crates/catkinusherd/src/gateway/peers.rs
@@ -273,7 +273,7 @@
             }
         };
         let Ok(report) = Report::read(&bytes[..length]) else {
-            state.count("peer_reports_bad");
+            state.metrics.on_call("peer", "bad-report");
             continue;
         };
         let seen = latest.entry(report.node).or_default();
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -138,12 +138,11 @@
             }
         }
     };
-    job.state.count(match outcome {
-        "whole" => "streams_whole",
-        "caller-left" => "streams_left",
-        "deadline" => "streams_late",
-        _ => "streams_broken",
-    });
+    let took = job.state.now().since(job.received);
+    job.state.metrics.on_end(job.kind(), outcome, took);
+    if let Some(first) = progress.first {
+        job.state.metrics.on_first(first.since(job.received));
+    }
     let since = |at: Time| at.since(job.received).as_millis() as u64;
     info!(
         event = "stream",
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -1,7 +1,6 @@
 //! What all parts of a gateway share.
 
 use std::collections::BTreeMap;
-use std::fmt::Write as _;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -15,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::clock;
+use super::metrics::{Beliefs, Metrics};
 use super::pool::Pool;
 use super::settings::Settings;
 use crate::timer::{Clock, Timers};
@@ -39,7 +39,7 @@
     view: Mutex<View>,
     fleet: Mutex<Fleet>,
     budgets: Mutex<BTreeMap<ServiceId, Budget>>,
-    counts: Mutex<BTreeMap<&'static str, u64>>,
+    pub(super) metrics: Metrics,
     ready: AtomicBool,
     open: AtomicU64,
 }
@@ -58,7 +58,7 @@
             view: Mutex::default(),
             fleet: Mutex::new(fleet),
             budgets: Mutex::default(),
-            counts: Mutex::default(),
+            metrics: Metrics::default(),
             ready: AtomicBool::new(false),
             open: AtomicU64::new(0),
         }
@@ -110,19 +110,22 @@
         ready
     }
 
-    /// Counts one event under a fixed name.
-    pub(super) fn count(&self, name: &'static str) {
-        *lock(&self.counts).entry(name).or_default() += 1;
-    }
-
-    /// The counters in the usual text form.
-    pub(super) fn counters(&self) -> String {
-        let mut text = String::new();
-        for (name, count) in lock(&self.counts).iter() {
-            // Writing to a string cannot fail.
-            let _written = writeln!(text, "catkinusher_{name} {count}");
-        }
-        text
+    /// The metrics as text.
+    pub(super) fn report(&self) -> String {
+        let view = self.view();
+        let revision = view.directory.as_ref().map_or(0, |one| one.revision());
+        let age = view.freshness.age(clock::elapsed());
+        drop(view);
+        let fleet = self.fleet();
+        let beliefs = Beliefs {
+            revision,
+            age,
+            upstreams: fleet.len(),
+            nodes: fleet.nodes(self.now()),
+            open: self.under_way(),
+        };
+        drop(fleet);
+        self.metrics.text(&beliefs)
     }
 
     pub(super) fn opened(&self) {
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -91,6 +91,7 @@
         let outcome = step(&store, &mut what, version, returned, state.now()).await;
         match outcome {
             Ok(next) => {
+                state.metrics.on_call(what.kind(), "answered");
                 if failures > 0 {
                     info!(
                         event = "store",
@@ -112,7 +113,7 @@
                 if failures == 0 {
                     warn!(event = "store", kind = what.kind(), outcome = "lost", %error);
                 }
-                state.count("store_failures");
+                state.metrics.on_call(what.kind(), "failed");
                 failures += 1;
                 let pause = PAUSE * (1 << failures.min(5));
                 state.timers.after(pause.min(PAUSE_LIMIT)).await;
