--- a/crates/catkinusher-core/src/fleet/place/long.rs
+++ b/crates/catkinusher-core/src/fleet/place/long.rs
@@ -43,6 +43,15 @@
 /// When a prompt that waits looks again, less than half a pass.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
+/// The share of an engine's memory that one prompt takes which several engines hold.
+const MEMORY_SHARE: f64 = 0.6;
+
+/// The tokens of an engine's memory that such a prompt leaves to others.
+const MEMORY_RESERVE: u64 = 40_000;
+
+/// The least tokens that are worth an order to an engine.
+const LEAST_SHARE: Tokens = Tokens::new(1000);
+
 /// When engines have room for a long prompt again, about the length of its reading and its answer.
 const RETRY_LONG: Duration = Duration::from_secs(4);
 
@@ -87,6 +96,7 @@
         if self.waits(part, engines()) {
             return Err(Overload::Behind(LOOK_AGAIN));
         }
+        let shared = self.share_memory(&helpers)?;
         let wait = engines()
             .map(|one| one.load.unread)
             .max()
@@ -98,10 +108,11 @@
         };
         Ok(Placement {
             first: first.id.clone(),
-            cost: cost(Share::Long, self.whole()),
+            cost: cost(Share::Long, self.kept()),
             helpers: helpers
                 .iter()
-                .map(|one| (one.id.clone(), cost(Share::Part, Tokens::ZERO)))
+                .zip(shared)
+                .map(|(one, held)| (one.id.clone(), cost(Share::Part, held)))
                 .collect(),
             basis: Basis {
                 choices: self.engines.len(),
@@ -117,6 +128,45 @@
         self.demand.prompt + self.demand.answer
     }
 
+    /// The most tokens of one prompt that are set aside on one engine.
+    fn most_shared(&self) -> Tokens {
+        Tokens::new((self.rates.memory.get() as f64 * MEMORY_SHARE) as u64)
+    }
+
+    /// The tokens that the engine that answers holds.
+    fn kept(&self) -> Tokens {
+        if self.whole() <= self.rates.memory {
+            self.whole()
+        } else {
+            self.most_shared()
+        }
+    }
+
+    /// The tokens that each helper sets aside, if the prompt is larger than one engine's memory.
+    fn share_memory(&self, helpers: &[&Candidate<'_>]) -> Result<Vec<Tokens>, Overload> {
+        let mut left = self.whole().saturating_sub(self.kept());
+        let shares = helpers
+            .iter()
+            .map(|one| {
+                let free = self.rates.memory.get().saturating_sub(one.load.held);
+                // Engines count memory in blocks, and short answers come meanwhile.
+                let free = free.saturating_sub(MEMORY_RESERVE);
+                let share = left.min(self.most_shared()).min(Tokens::new(free));
+                let share = if share < LEAST_SHARE {
+                    Tokens::ZERO
+                } else {
+                    share
+                };
+                left = left.saturating_sub(share);
+                share
+            })
+            .collect();
+        if left > Tokens::ZERO {
+            return Err(Overload::Full(RETRY_LONG));
+        }
+        Ok(shares)
+    }
+
     fn score(one: &Candidate<'_>) -> f64 {
         one.load.unread as f64
             + f64::from(one.load.longs) * ANSWER_WEIGHT
@@ -130,7 +180,7 @@
         R: Rng,
     {
         let fits = |one: &&Candidate<'_>| {
-            one.load.held + self.whole().get() <= self.rates.memory.get()
+            one.load.held + self.kept().get() <= self.rates.memory.get()
                 && one.load.answers() < self.rates.slots
         };
         group
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -181,7 +181,7 @@
     if engines.is_empty() {
         return Err(Overload::None);
     }
-    if demand.prompt + demand.answer > rates.memory {
+    if demand.prompt + demand.answer > rates.memory && !rates.joint {
         return Err(Overload::TooLong);
     }
     engines.sort_by_key(|one| one.entry.rank);
--- a/crates/catkinusherd/src/gateway/attempt.rs
+++ b/crates/catkinusherd/src/gateway/attempt.rs
@@ -18,9 +18,10 @@
 use tracing::info;
 
 use super::answer;
-use super::dialect::{Culprit, Dialect, Dispatch, Verdict};
+use super::dialect::{Culprit, Dialect, Dispatch, Helper, Verdict};
 use super::handle::Job;
 use super::pool::Link;
+use super::reserve::Reservation;
 use super::state::State;
 
 /// The least time for which an attempt is worth starting: a hop and a short pass.
@@ -44,6 +45,9 @@
 /// When to come back after an upstream refused.
 const REFUSED_WAIT: Span = Span::from_millis(300);
 
+/// The pause before memory is asked for again, a few passes.
+const MEMORY_PAUSE: Duration = Duration::from_millis(200);
+
 /// How long a connection may take to be free after its answer; the request may still be on its way.
 const FREE_LIMIT: Duration = Duration::from_millis(500);
 
@@ -52,6 +56,7 @@
 pub(super) struct Held<D> {
     state: Arc<State<D>>,
     works: Vec<Work>,
+    reserved: Vec<Reservation>,
 }
 
 impl<D> Held<D> {
@@ -96,6 +101,8 @@
     Unsent(String),
     /// The upstream refused, and did not run it, perhaps as another one failed it.
     Refused(Option<UpstreamId>),
+    /// Nothing was sent, as a helper did not set memory aside.
+    NoMemory(String),
     /// Another upstream has the address.
     Moved,
     /// It may have run.
@@ -153,19 +160,21 @@
             if self.left() < LEAST_TIME {
                 return Err(self.late());
             }
-            let (placement, address, helpers) = self.turn().await?;
+            let (placement, address) = self.turn().await?;
             let upstream = placement.first.clone();
             let held = self.hold(&placement);
-            match self
-                .exchange(&placement, address, helpers, held, resume)
-                .await
-            {
+            match self.exchange(&placement, address, held, resume).await {
                 Ok(live) => return Ok(live),
                 Err(Miss::Late) => return Err(self.late()),
                 Err(Miss::Unsent(detail)) => {
                     self.fail(&upstream, address, Fault::Unreachable, &detail);
                     detours += 1;
                 }
+                Err(Miss::NoMemory(detail)) => {
+                    self.note_memory(&detail);
+                    self.state.timers.after(MEMORY_PAUSE).await;
+                    detours += 1;
+                }
                 Err(Miss::Moved) => {
                     self.fail(&upstream, address, Fault::Moved, "another has the address");
                     detours += 1;
@@ -205,7 +214,7 @@
     }
 
     /// Waits until the request may be placed.
-    async fn turn(&self) -> Result<(Placement, SocketAddr, Vec<SocketAddr>), Refusal> {
+    async fn turn(&self) -> Result<(Placement, SocketAddr), Refusal> {
         loop {
             match self.place() {
                 Ok(placed) => return Ok(placed),
@@ -227,7 +236,7 @@
         }
     }
 
-    fn place(&self) -> Result<(Placement, SocketAddr, Vec<SocketAddr>), Overload> {
+    fn place(&self) -> Result<(Placement, SocketAddr), Overload> {
         let service = self
             .directory
             .service(&self.service)
@@ -246,15 +255,9 @@
         let mut fleet = self.state.fleet();
         let placed = fleet.place(service, &demand, policy, now, &mut rand::rng());
         let placement = placed?;
-        let address = |id: &UpstreamId| fleet.get(id).map(|one| one.address);
-        let first = address(&placement.first).ok_or(Overload::None)?;
-        let helpers = placement
-            .helpers
-            .iter()
-            .filter_map(|(id, _)| address(id))
-            .collect();
+        let first = fleet.get(&placement.first).ok_or(Overload::None)?.address;
         drop(fleet);
-        Ok((placement, first, helpers))
+        Ok((placement, first))
     }
 
     fn hold(&self, placement: &Placement) -> Held<D> {
@@ -273,6 +276,7 @@
         Held {
             state: Arc::clone(&self.state),
             works,
+            reserved: Vec::new(),
         }
     }
 
@@ -280,11 +284,16 @@
         &mut self,
         placement: &Placement,
         address: SocketAddr,
-        helpers: Vec<SocketAddr>,
-        held: Held<D>,
+        mut held: Held<D>,
         resume: Option<u64>,
     ) -> Result<Live<D>, Miss> {
         let upstream = &placement.first;
+        let (helpers, reserved) = self
+            .state
+            .reserve(&placement.helpers)
+            .await
+            .map_err(Miss::NoMemory)?;
+        held.reserved = reserved;
         // A kept connection may be closed by the other side at any moment, which nothing proves afterwards.
         let fresh = self.route.repeat == Repeat::Once;
         let now = self.state.now();
@@ -378,14 +387,14 @@
         &self,
         upstream: &UpstreamId,
         time: Duration,
-        helpers: &[SocketAddr],
+        helpers: &[Helper],
         resume: Option<u64>,
     ) -> Request<Full<Bytes>> {
         let dispatch = Dispatch {
             upstream,
             time,
             customer: self.customer.as_ref().map(|customer| &customer.name),
-            helpers: helpers.to_vec(),
+            helpers,
             urgency: None,
             resume,
         };
@@ -418,6 +427,16 @@
         patience.min(left)
     }
 
+    fn note_memory(&self, detail: &str) {
+        self.state.metrics.on_call("upstream", "no-memory");
+        info!(
+            event = "memory",
+            request = self.name(),
+            outcome = "refused",
+            detail
+        );
+    }
+
     /// Notes that an upstream failed this request.
     pub(super) fn fail(
         &mut self,
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use catkinusher_core::directory::Directory;
 use catkinusher_core::fleet::Upstream;
 use catkinusher_core::id::{CustomerId, UpstreamId};
@@ -35,6 +36,34 @@
     pub detail: String,
 }
 
+/// An engine that reads a part of a prompt, and may hold memory for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Helper {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The name of the memory that it has set aside for this request.
+    pub reservation: Option<String>,
+}
+
+/// An order about memory that an engine sets aside.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order<'a> {
+    /// Set so many tokens aside for a time, or for that time from now on.
+    Reserve {
+        /// The name of the memory.
+        name: &'a str,
+        /// How much.
+        tokens: Tokens,
+        /// For how long from its arrival.
+        lease: Duration,
+    },
+    /// Free it.
+    Release {
+        /// The name of the memory.
+        name: &'a str,
+    },
+}
+
 /// What an upstream is told beside the caller's own head.
 #[derive(Debug, Clone)]
 pub struct Dispatch<'a> {
@@ -45,7 +74,7 @@
     /// The customer that asks.
     pub customer: Option<&'a CustomerId>,
     /// The engines that read parts of the prompt.
-    pub helpers: Vec<SocketAddr>,
+    pub helpers: &'a [Helper],
     /// The rank among what waits at the upstream, 0 first.
     pub urgency: Option<u8>,
     /// The event after which a stream goes on.
@@ -86,6 +115,9 @@
     /// Makes the head for an upstream out of the caller's.
     fn dispatch(&self, headers: &HeaderMap, dispatch: &Dispatch<'_>) -> HeaderMap;
 
+    /// Writes an order for `upstream`.
+    fn order(&self, order: &Order<'_>, upstream: &UpstreamId) -> http::Request<Bytes>;
+
     /// Judges the head of an upstream's answer to the request `id`.
     fn verdict(&self, status: StatusCode, headers: &HeaderMap, id: &HeaderValue) -> Verdict;
 
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -20,11 +20,14 @@
 mod peers;
 mod pool;
 mod relay;
+mod reserve;
 mod state;
 mod stop;
 mod watch;
 
-pub use self::dialect::{Ask, Culprit, Dialect, Dispatch, Malformed, Source, Verdict};
+pub use self::dialect::{
+    Ask, Culprit, Dialect, Dispatch, Helper, Malformed, Order, Source, Verdict,
+};
 pub use self::settings::Settings;
 
 use std::sync::Arc;
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/reserve.rs
@@ -0,0 +1,161 @@
+//! Memory that engines set aside for prompts larger than one of them holds.
+//!
+//! Leases are short and renewed while the request lives. A node that dies, an
+//! order that is lost and one that is carried out late so all end in the same
+//! way: the engine frees the memory by itself, soon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use catkinusher_core::fleet::Cost;
+use catkinusher_core::id::UpstreamId;
+use catkinusher_core::units::Tokens;
+use futures_util::future::join_all;
+use http::StatusCode;
+use http_body_util::{BodyExt, Full};
+use tokio::time::timeout;
+use tokio_util::sync::{CancellationToken, DropGuard};
+use tracing::info;
+
+use super::dialect::{Dialect, Helper, Order};
+use super::state::State;
+
+/// How long memory stays set aside without renewal; below the users' bound on idle memory.
+const LEASE: Duration = Duration::from_millis(2800);
+
+/// How often a lease is renewed, so that one lost order does not end it.
+const RENEWAL: Duration = Duration::from_millis(1000);
+
+/// How long an engine may take to answer an order.
+const ORDER_LIMIT: Duration = Duration::from_millis(400);
+
+/// Memory set aside on one engine; dropping it frees the memory.
+#[derive(Debug)]
+pub(super) struct Reservation {
+    _guard: DropGuard,
+}
+
+#[derive(Debug, Clone)]
+struct Place {
+    upstream: UpstreamId,
+    address: SocketAddr,
+    name: String,
+    tokens: Tokens,
+}
+
+impl<D> State<D>
+where
+    D: Dialect,
+{
+    /// Has each helper set aside what it is to hold.
+    ///
+    /// # Errors
+    ///
+    /// Which helper did not; the others are freed.
+    pub(super) async fn reserve(
+        self: &Arc<Self>,
+        helpers: &[(UpstreamId, Cost)],
+    ) -> Result<(Vec<Helper>, Vec<Reservation>), String> {
+        let mut known = Vec::new();
+        let mut places = Vec::new();
+        for (upstream, cost) in helpers {
+            let listed = self.fleet().get(upstream).map(|one| one.address);
+            let Some(address) = listed else {
+                continue;
+            };
+            let mut helper = Helper {
+                address,
+                reservation: None,
+            };
+            if cost.held > Tokens::ZERO {
+                // A name is used once, ever, so that a late order can do no harm.
+                let name = format!("c{:016x}", rand::random::<u64>());
+                helper.reservation = Some(name.clone());
+                places.push(Place {
+                    upstream: upstream.clone(),
+                    address,
+                    name,
+                    tokens: cost.held,
+                });
+            }
+            known.push(helper);
+        }
+        let orders = places.iter().map(|place| self.renew(place));
+        let taken = join_all(orders).await;
+        let reserved = places
+            .iter()
+            .map(|place| self.keep_reserved(place.clone()))
+            .collect();
+        match taken.into_iter().collect::<Result<Vec<()>, String>>() {
+            Ok(_all) => Ok((known, reserved)),
+            // What was taken, or may still be, is freed as `reserved` is dropped.
+            Err(fault) => Err(fault),
+        }
+    }
+
+    /// Renews a lease until its reservation is dropped, then frees the memory.
+    fn keep_reserved(self: &Arc<Self>, place: Place) -> Reservation {
+        let token = CancellationToken::new();
+        let state = Arc::clone(self);
+        let ended = token.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::select! {
+                    () = ended.cancelled() => break,
+                    () = state.timers.after(RENEWAL) => {
+                        if let Err(detail) = state.renew(&place).await {
+                            info!(event = "memory", upstream = %place.upstream, outcome = "not-renewed", detail);
+                        }
+                    }
+                }
+            }
+            if let Err(detail) = state.release(&place).await {
+                // The lease runs out by itself.
+                info!(event = "memory", upstream = %place.upstream, outcome = "not-released", detail);
+            }
+        });
+        Reservation {
+            _guard: token.drop_guard(),
+        }
+    }
+
+    async fn renew(self: &Arc<Self>, place: &Place) -> Result<(), String> {
+        let order = Order::Reserve {
+            name: &place.name,
+            tokens: place.tokens,
+            lease: LEASE,
+        };
+        self.order(place, &order).await
+    }
+
+    async fn release(self: &Arc<Self>, place: &Place) -> Result<(), String> {
+        let order = Order::Release { name: &place.name };
+        self.order(place, &order).await
+    }
+
+    async fn order(self: &Arc<Self>, place: &Place, order: &Order<'_>) -> Result<(), String> {
+        let request = self.dialect.order(order, &place.upstream).map(Full::new);
+        let exchange = async {
+            let link = self.pool.get(place.address, false, self.now()).await?;
+            let mut sender = link.sender;
+            let answer = sender.send_request(request).await;
+            let answer = answer.map_err(|error| error.to_string())?;
+            let status = answer.status();
+            let body = answer.into_body().collect().await;
+            body.map_err(|error| error.to_string())?;
+            self.keep(place.address, sender, None);
+            Ok(status)
+        };
+        let named = |detail: String| format!("{}: {detail}", place.upstream);
+        let result = match timeout(ORDER_LIMIT, exchange).await {
+            Ok(Ok(StatusCode::OK)) => Ok(()),
+            Ok(Ok(status)) => Err(named(format!("it answers {status}"))),
+            Ok(Err(detail)) => Err(named(detail)),
+            Err(_elapsed) => Err(named("no answer to an order".to_owned())),
+        };
+        let outcome = if result.is_ok() { "done" } else { "failed" };
+        self.metrics.on_call("order", outcome);
+        result
+    }
+}
