Let long parts wait for more engines, and refuse what would take all of them for seconds

Cause: parts of seconds made short prompts that came to their engines late. Change: a part above 1.2 s waits while its caller does; reading above 25 s is refused.

--- a/crates/catkinusher-core/src/fleet/place/long.rs
+++ b/crates/catkinusher-core/src/fleet/place/long.rs
@@ -74,6 +74,9 @@
     where
         R: Rng,
     {
+        if self.reading > self.policy.huge {
+            return Err(Overload::Full(RETRY_LONG));
+        }
         let (writing, readers) = self.engines.split_at(self.writers);
         let most = if self.rates.joint {
             self.policy.helpers.min(readers.len())
@@ -96,6 +99,9 @@
         if self.waits(part, engines()) {
             return Err(Overload::Behind(LOOK_AGAIN));
         }
+        if part > self.policy.most * 2 {
+            return Err(Overload::Full(RETRY_LONG));
+        }
         let shared = self.share_memory(&helpers)?;
         let wait = engines()
             .map(|one| one.load.unread)
@@ -229,6 +235,10 @@
         if demand.waited + part * 2 + LAST_CALL >= demand.patience {
             return false;
         }
+        // Every engine that reads such a part makes all others there wait for it.
+        if part > self.policy.most {
+            return true;
+        }
         let shorter = part.as_millis() as f64 * SHORTER;
         if demand.spent + part.mul_f64(MARGIN) <= demand.objective {
             engines.any(|one| one.load.least > 0 && (one.load.least as f64) < shorter)
--- a/crates/catkinusher-core/src/fleet/place/types.rs
+++ b/crates/catkinusher-core/src/fleet/place/types.rs
@@ -18,6 +18,10 @@
     pub fill: f64,
     /// The reading time that each engine should get of a long prompt.
     pub part: Duration,
+    /// The longest part that an engine reads while its prompt may still wait for more engines.
+    pub most: Duration,
+    /// The reading time above which a prompt is refused, as it would hold up too many others.
+    pub huge: Duration,
     /// The longest part that may hold up an engine that writes.
     pub burden: Duration,
     /// The most engines that read one prompt together.
@@ -39,6 +43,10 @@
             fill: 0.72,
             // Smaller parts disturb more engines than they gain.
             part: Duration::from_millis(300),
+            // Short questions that come to its engine meanwhile are late by then.
+            most: Duration::from_millis(1200),
+            // Some two seconds of all engines of the users' deployments.
+            huge: Duration::from_secs(25),
             // With a pass it stays within the pauses of most answers.
             burden: Duration::from_millis(300),
             // The most that an engine takes on its list.
