Refuse prompts that cannot end in time, and never start long ones anew for silence

Cause: prompts that came back with two seconds left were read in vain, and a long prompt silent for 6 s was cancelled and began again. Ruled out: dead upstreams, which keep-alive probes find within two seconds. Change: placing knows the time left and the least that the answer takes; silence moves short prompts only.

--- a/crates/catkinusher-core/src/engine/mod.rs
+++ b/crates/catkinusher-core/src/engine/mod.rs
@@ -48,6 +48,12 @@
         Duration::from_secs_f64(plain + pairs)
     }
 
+    /// How long an answer of so many tokens takes at the least, on an engine without others.
+    #[must_use]
+    pub fn writing(&self, answer: Tokens) -> Duration {
+        Duration::from_secs_f64(self.step * answer.get() as f64 / 1e3)
+    }
+
     /// How long one pass takes with `answers` under way that hold `context` tokens.
     #[must_use]
     pub fn pass(&self, answers: u32, context: Tokens) -> Duration {
--- a/crates/catkinusher-core/src/fleet/place/long.rs
+++ b/crates/catkinusher-core/src/fleet/place/long.rs
@@ -95,6 +95,11 @@
             .ok_or(Overload::Full(RETRY_LONG))?;
         let helpers = self.helpers(readers, first, most);
         let part = self.reading / (helpers.len() as u32 + 1);
+        let half = Tokens::new(self.demand.answer.get() / 2);
+        let needs = part + self.rates.writing(half);
+        if needs > self.demand.left {
+            return Err(Overload::Late(needs));
+        }
         let engines = || helpers.iter().copied().chain([first]);
         if self.waits(part, engines()) {
             return Err(Overload::Behind(LOOK_AGAIN));
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -24,7 +24,7 @@
 use crate::id::{ServiceId, UpstreamId};
 use crate::rendezvous::Salt;
 use crate::time::Time;
-use crate::units::Rate;
+use crate::units::{Rate, Tokens};
 
 const SALT: Salt = Salt::new(0x666c_6565_7421);
 
@@ -184,6 +184,17 @@
     if demand.prompt + demand.answer > rates.memory && !rates.joint {
         return Err(Overload::TooLong);
     }
+    // The answer's length is not known before; the half of the most is near to the mean.
+    let writing = rates.writing(Tokens::new(demand.answer.get() / 2));
+    let most = if rates.joint {
+        policy.helpers as u32 + 1
+    } else {
+        1
+    };
+    let needs = rates.reading(demand.prompt) / most + writing;
+    if needs > demand.left {
+        return Err(Overload::Late(needs));
+    }
     engines.sort_by_key(|one| one.entry.rank);
     let reading = rates.reading(demand.prompt);
     let shorts = sizing.shorts(&engines, rates, policy, now);
--- a/crates/catkinusher-core/src/fleet/place/types.rs
+++ b/crates/catkinusher-core/src/fleet/place/types.rs
@@ -76,6 +76,8 @@
     pub patience: Duration,
     /// How long this attempt has waited already.
     pub waited: Duration,
+    /// How long is left until its answer must be whole.
+    pub left: Duration,
     /// The upstreams that have failed it already.
     pub avoid: Vec<UpstreamId>,
 }
@@ -117,6 +119,8 @@
     Full(Duration),
     /// Shorter prompts are being read; ask again after this time.
     Behind(Duration),
+    /// It cannot end in the time that is left, which is so much less than it needs.
+    Late(Duration),
     /// No engine's memory holds the prompt.
     TooLong,
 }
--- a/crates/catkinusherd/src/gateway/attempt.rs
+++ b/crates/catkinusherd/src/gateway/attempt.rs
@@ -39,6 +39,9 @@
 /// The sends beyond the first that one upstream may get while its helpers fail.
 const REPEATS: u32 = 2;
 
+/// The objective above which a prompt is not started anew for silence; keep-alive probes find dead upstreams sooner.
+const LONG_OBJECTIVE: Duration = Duration::from_secs(1);
+
 /// When to come back if no upstream can be had: they restart within seconds.
 const NONE_WAIT: Span = Span::from_millis(500);
 
@@ -225,6 +228,13 @@
                         after: Span::new(wait),
                     }));
                 }
+                Err(Overload::Late(needs)) => {
+                    return Err(self.trail.told(Refusal::TooLate {
+                        predicted: Span::new(needs),
+                        left: Span::new(self.left()),
+                        after: NONE_WAIT,
+                    }));
+                }
                 Err(Overload::TooLong) => {
                     return Err(self.trail.told(Refusal::QueueFull {
                         service: self.service.clone(),
@@ -248,6 +258,7 @@
             spent: self.age + self.state.now().since(self.received),
             patience: self.patience,
             waited: self.state.now().since(self.received),
+            left: self.left(),
             avoid: self.avoid.clone(),
         };
         let now = self.state.now();
@@ -422,6 +433,8 @@
         let objective = self.route.objective;
         let patience = match self.route.delivery {
             Delivery::Whole => objective * 3 / 2,
+            // A long prompt that starts anew loses all that was read of it.
+            Delivery::Events { .. } if objective > LONG_OBJECTIVE => return left,
             Delivery::Events { .. } => (objective * SILENCE).max(LEAST_SILENCE),
         };
         patience.min(left)
