Log what a refused request was decided by

Cause: a refusal under load named its reason, not what was known. Change: one line with the prompt, the revision, upstreams and nodes known, and the time left.

--- a/crates/catkinusherd/src/gateway/attempt.rs
+++ b/crates/catkinusherd/src/gateway/attempt.rs
@@ -219,29 +219,37 @@
     /// Waits until the request may be placed.
     async fn turn(&self) -> Result<(Placement, SocketAddr), Refusal> {
         loop {
-            match self.place() {
+            let refused = match self.place() {
                 Ok(placed) => return Ok(placed),
-                Err(Overload::Behind(pause)) => self.state.timers.after(pause).await,
-                Err(Overload::Full(wait)) => {
+                Err(Overload::Behind(pause)) => {
+                    self.state.timers.after(pause).await;
+                    continue;
+                }
+                Err(refused) => refused,
+            };
+            self.note_overload(refused);
+            match refused {
+                Overload::Behind(_) => {}
+                Overload::Full(wait) => {
                     return Err(self.trail.told(Refusal::QueueFull {
                         service: self.service.clone(),
                         after: Span::new(wait),
                     }));
                 }
-                Err(Overload::Late(needs)) => {
+                Overload::Late(needs) => {
                     return Err(self.trail.told(Refusal::TooLate {
                         predicted: Span::new(needs),
                         left: Span::new(self.left()),
                         after: NONE_WAIT,
                     }));
                 }
-                Err(Overload::TooLong) => {
+                Overload::TooLong => {
                     return Err(self.trail.told(Refusal::QueueFull {
                         service: self.service.clone(),
                         after: NONE_WAIT,
                     }));
                 }
-                Err(Overload::None) => return Err(self.refused(NONE_WAIT)),
+                Overload::None => return Err(self.refused(NONE_WAIT)),
             }
         }
     }
@@ -327,6 +335,7 @@
         info!(
             event = "send",
             request = self.name(),
+            revision = self.directory.revision(),
             upstream = %upstream,
             attempt = self.sends,
             helpers = ?placement.helpers.iter().map(|(id, _)| id.as_str()).collect::<Vec<_>>(),
@@ -440,6 +449,25 @@
         patience.min(left)
     }
 
+    /// Logs what a request was refused by.
+    fn note_overload(&self, overload: Overload) {
+        let fleet = self.state.fleet();
+        let (upstreams, nodes) = (fleet.len(), fleet.nodes(self.state.now()));
+        drop(fleet);
+        info!(
+            event = "overload",
+            request = self.name(),
+            service = %self.service,
+            overload = ?overload,
+            prompt = self.ask.prompt.get(),
+            revision = self.directory.revision(),
+            upstreams,
+            nodes,
+            waited_ms = self.state.now().since(self.received).as_millis() as u64,
+            left_ms = self.left().as_millis() as u64,
+        );
+    }
+
     fn note_memory(&self, detail: &str) {
         self.state.metrics.on_call("upstream", "no-memory");
         info!(
--- a/crates/catkinusherd/src/gateway/reserve.rs
+++ b/crates/catkinusherd/src/gateway/reserve.rs
@@ -25,7 +25,7 @@
 const LEASE: Duration = Duration::from_millis(2800);
 
 /// How often a lease is renewed, so that one lost order does not end it.
-const RENEWAL: Duration = Duration::from_millis(1000);
+const RENEWAL: Duration = Duration::from_secs(1);
 
 /// How long an engine may take to answer an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(400);
