--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use catkinusher_core::directory::Directory;
 use catkinusher_core::fleet::Fleet;
@@ -19,6 +20,11 @@
 use super::settings::Settings;
 use crate::timer::{Clock, Timers};
 
+/// How much later than it should a confirmation may come before the balancer is told.
+///
+/// It believes a second no, so that callers go elsewhere before this node must refuse them.
+const READY_MARGIN: Duration = Duration::from_millis(900);
+
 /// What is known of the configuration, and since when.
 #[derive(Debug, Default)]
 pub(super) struct View {
@@ -102,7 +108,9 @@
         let ready = !self.stopping.is_cancelled()
             && view.listed
             && view.directory.is_some()
-            && view.freshness.within(self.settings.trust, now);
+            && view
+                .freshness
+                .within(self.settings.wait + READY_MARGIN, now);
         drop(view);
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             tracing::info!(event = "ready", ready);
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -22,7 +22,7 @@
 const PAUSE: Duration = Duration::from_millis(60);
 
 /// The longest pause after failed calls, well within the bounds on changes.
-const PAUSE_LIMIT: Duration = Duration::from_millis(600);
+const PAUSE_LIMIT: Duration = Duration::from_millis(800);
 
 /// How long after the store's return a missing upstream may only have lapsed.
 const RETURN_SPAN: Duration = Duration::from_secs(2);
