--- a/crates/catkinusherd/src/gateway/attempt.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -1,15 +1,17 @@
 //! Sending a request to an upstream, and deciding on another attempt.
 
+mod judge;
+mod turn;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use catkinusher_core::directory::{Delivery, Repeat};
-use catkinusher_core::fleet::{Cost, Demand, Fault, Overload, Placement, Work};
+use catkinusher_core::directory::Repeat;
+use catkinusher_core::fleet::{Fault, Placement, Work};
 use catkinusher_core::id::UpstreamId;
 use catkinusher_core::outcome::{Evidence, Refusal};
-use catkinusher_core::retry::{self, Decision, Failure, Reason};
 use catkinusher_core::units::Span;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -17,12 +19,12 @@
 use hyper::client::conn::http1::SendRequest;
 use tracing::info;
 
-use super::answer;
-use super::dialect::{Culprit, Dialect, Dispatch, Helper, Verdict};
-use super::handle::Job;
-use super::pool::Link;
-use super::reserve::Reservation;
-use super::state::State;
+use crate::gateway::answer;
+use crate::gateway::dialect::{Culprit, Dialect, Dispatch, Helper, Verdict};
+use crate::gateway::handle::Job;
+use crate::gateway::pool::Link;
+use crate::gateway::reserve::Reservation;
+use crate::gateway::state::State;
 
 /// The least time for which an attempt is worth starting: a hop and a short pass.
 const LEAST_TIME: Duration = Duration::from_millis(20);
@@ -30,18 +32,6 @@
 /// Upstreams that may turn out unreachable or moved before a request is given up; nothing was sent to them.
 const DETOURS: u32 = 4;
 
-/// The least time after which a silent upstream is taken for lost, a few passes of a busy engine.
-const LEAST_SILENCE: Duration = Duration::from_millis(1200);
-
-/// The multiple of the objective after which a silent upstream is taken for lost.
-const SILENCE: u32 = 2;
-
-/// The sends beyond the first that one upstream may get while its helpers fail.
-const REPEATS: u32 = 2;
-
-/// The objective above which a prompt is not started anew for silence; keep-alive probes find dead upstreams sooner.
-const LONG_OBJECTIVE: Duration = Duration::from_secs(1);
-
 /// When to come back if no upstream can be had: they restart within seconds.
 const NONE_WAIT: Span = Span::from_millis(500);
 
@@ -56,7 +46,7 @@
 
 /// What an attempt holds at upstreams, given back when it is dropped.
 #[derive(Debug)]
-pub(super) struct Held<D> {
+pub(in crate::gateway) struct Held<D> {
     state: Arc<State<D>>,
     works: Vec<Work>,
     reserved: Vec<Reservation>,
@@ -64,7 +54,7 @@
 
 impl<D> Held<D> {
     /// Notes that the prompt is read.
-    pub(super) fn on_read(&self) {
+    pub(in crate::gateway) fn on_read(&self) {
         let mut fleet = self.state.fleet();
         for work in &self.works {
             fleet.on_read(*work);
@@ -87,15 +77,15 @@
 
 /// An attempt whose answer has begun.
 #[derive(Debug)]
-pub(super) struct Live<D>
+pub(in crate::gateway) struct Live<D>
 where
     D: Dialect,
 {
-    pub(super) response: Response<Incoming>,
-    pub(super) upstream: UpstreamId,
-    pub(super) address: SocketAddr,
-    pub(super) sender: SendRequest<Full<Bytes>>,
-    pub(super) held: Held<D>,
+    pub(in crate::gateway) response: Response<Incoming>,
+    pub(in crate::gateway) upstream: UpstreamId,
+    pub(in crate::gateway) address: SocketAddr,
+    pub(in crate::gateway) sender: SendRequest<Full<Bytes>>,
+    pub(in crate::gateway) held: Held<D>,
 }
 
 /// How an attempt ended without an answer.
@@ -128,7 +118,7 @@
     }
 
     /// Keeps a connection once its request has left it whole.
-    pub(super) fn keep(
+    pub(in crate::gateway) fn keep(
         self: &Arc<Self>,
         address: SocketAddr,
         mut sender: SendRequest<Full<Bytes>>,
@@ -157,7 +147,10 @@
     /// # Errors
     ///
     /// The refusal for the caller.
-    pub(super) async fn send(&mut self, resume: Option<u64>) -> Result<Live<D>, Refusal> {
+    pub(in crate::gateway) async fn send(
+        &mut self,
+        resume: Option<u64>,
+    ) -> Result<Live<D>, Refusal> {
         let mut detours = 0;
         loop {
             if self.left() < LEAST_TIME {
@@ -208,97 +201,6 @@
         }
     }
 
-    /// The refusal of a request that could not be placed, as true as earlier attempts allow.
-    fn refused(&self, after: Span) -> Refusal {
-        self.trail.told(Refusal::NoUpstream {
-            service: self.service.clone(),
-            after,
-        })
-    }
-
-    /// Waits until the request may be placed.
-    async fn turn(&self) -> Result<(Placement, SocketAddr), Refusal> {
-        loop {
-            let refused = match self.place() {
-                Ok(placed) => return Ok(placed),
-                Err(Overload::Behind(pause)) => {
-                    self.state.timers.after(pause).await;
-                    continue;
-                }
-                Err(refused) => refused,
-            };
-            self.note_overload(refused);
-            match refused {
-                Overload::Behind(_) => {}
-                Overload::Full(wait) => {
-                    return Err(self.trail.told(Refusal::QueueFull {
-                        service: self.service.clone(),
-                        after: Span::new(wait),
-                    }));
-                }
-                Overload::Late(needs) => {
-                    return Err(self.trail.told(Refusal::TooLate {
-                        predicted: Span::new(needs),
-                        left: Span::new(self.left()),
-                        after: NONE_WAIT,
-                    }));
-                }
-                Overload::TooLong => {
-                    return Err(self.trail.told(Refusal::QueueFull {
-                        service: self.service.clone(),
-                        after: NONE_WAIT,
-                    }));
-                }
-                Overload::None => return Err(self.refused(NONE_WAIT)),
-            }
-        }
-    }
-
-    fn place(&self) -> Result<(Placement, SocketAddr), Overload> {
-        let service = self
-            .directory
-            .service(&self.service)
-            .ok_or(Overload::None)?;
-        let demand = Demand {
-            prompt: self.ask.prompt,
-            answer: self.ask.answer,
-            objective: self.route.objective,
-            spent: self.age + self.state.now().since(self.received),
-            patience: self.patience,
-            waited: self.state.now().since(self.received),
-            left: self.left(),
-            avoid: self.avoid.clone(),
-        };
-        let now = self.state.now();
-        let policy = &self.state.settings.placing;
-        let mut fleet = self.state.fleet();
-        let placed = fleet.place(service, &demand, policy, now, &mut rand::rng());
-        let placement = placed?;
-        let first = fleet.get(&placement.first).ok_or(Overload::None)?.address;
-        drop(fleet);
-        Ok((placement, first))
-    }
-
-    fn hold(&self, placement: &Placement) -> Held<D> {
-        let now = self.state.now();
-        let mut fleet = self.state.fleet();
-        let first = (&placement.first, placement.cost);
-        let works = placement
-            .helpers
-            .iter()
-            .map(|(id, cost)| (id, *cost))
-            .chain([first])
-            .map(|(id, cost): (&UpstreamId, Cost)| fleet.begin(id, cost, now))
-            .collect();
-        drop(fleet);
-        self.state.changed.notify_one();
-        Held {
-            state: Arc::clone(&self.state),
-            works,
-            reserved: Vec::new(),
-        }
-    }
-
     async fn exchange(
         &mut self,
         placement: &Placement,
@@ -426,118 +328,4 @@
         *request.headers_mut() = self.state.dialect.dispatch(&headers, &dispatch);
         request
     }
-
-    /// The upstreams it was sent to, or more if one got it again and again.
-    fn attempts(&self) -> u32 {
-        let upstreams = self.sent.len() as u32;
-        upstreams.max(self.sends.saturating_sub(REPEATS))
-    }
-
-    /// How long an upstream may be silent before another is tried.
-    fn silence(&self) -> Duration {
-        let left = self.left();
-        if !self.repeats() || self.sent.len() >= self.route.attempts as usize {
-            return left;
-        }
-        let objective = self.route.objective;
-        let patience = match self.route.delivery {
-            Delivery::Whole => objective * 3 / 2,
-            // A long prompt that starts anew loses all that was read of it.
-            Delivery::Events { .. } if objective > LONG_OBJECTIVE => return left,
-            Delivery::Events { .. } => (objective * SILENCE).max(LEAST_SILENCE),
-        };
-        patience.min(left)
-    }
-
-    /// Logs what a request was refused by.
-    fn note_overload(&self, overload: Overload) {
-        let fleet = self.state.fleet();
-        let (upstreams, nodes) = (fleet.len(), fleet.nodes(self.state.now()));
-        drop(fleet);
-        info!(
-            event = "overload",
-            request = self.name(),
-            service = %self.service,
-            overload = ?overload,
-            prompt = self.ask.prompt.get(),
-            revision = self.directory.revision(),
-            upstreams,
-            nodes,
-            waited_ms = self.state.now().since(self.received).as_millis() as u64,
-            left_ms = self.left().as_millis() as u64,
-        );
-    }
-
-    fn note_memory(&self, detail: &str) {
-        self.state.metrics.on_call("upstream", "no-memory");
-        info!(
-            event = "memory",
-            request = self.name(),
-            outcome = "refused",
-            detail
-        );
-    }
-
-    /// Notes that an upstream failed this request.
-    pub(super) fn fail(
-        &mut self,
-        upstream: &UpstreamId,
-        address: SocketAddr,
-        fault: Fault,
-        detail: &str,
-    ) {
-        let now = self.state.now();
-        self.state.fleet().on_fault(upstream, fault, now);
-        self.state.metrics.on_call("upstream", fault.name());
-        if !matches!(fault, Fault::Refused | Fault::Absent) {
-            self.state.pool.forget(address);
-        }
-        if !self.avoid.contains(upstream) {
-            self.avoid.push(upstream.clone());
-        }
-        info!(
-            event = "fault",
-            request = self.name(),
-            upstream = %upstream,
-            fault = fault.name(),
-            detail,
-            outcome = %self.trail.outcome(),
-        );
-    }
-
-    /// Decides on another attempt, and takes it off the service's budget.
-    pub(super) fn again(&self, upstream: &UpstreamId) -> Result<(), Reason> {
-        let policy = retry::Policy {
-            attempts: self.route.attempts,
-            ..self.state.settings.retries.clone()
-        };
-        let failure = Failure {
-            idempotent: self.repeats(),
-            outcome: self.trail.outcome(),
-            sends: self.sends,
-            delivered: false,
-            attempts: self.attempts(),
-            suspects: self.avoid.clone(),
-            wait: None,
-            needs: Span::new(LEAST_TIME),
-            deadline: self.deadline,
-        };
-        let now = self.state.now();
-        let decision = self.state.with_budget(&self.service, |budget| {
-            retry::decide(&policy, budget, &failure, now, &mut rand::rng())
-        });
-        match decision {
-            Decision::Retry { .. } => Ok(()),
-            Decision::GiveUp { reason } => {
-                info!(
-                    event = "give-up",
-                    request = self.name(),
-                    upstream = %upstream,
-                    reason = ?reason,
-                    sends = self.sends,
-                );
-                Err(reason)
-            }
-        }
-    }
 }
