Use one copy of JSON bodies and of hop-by-hop headers

Cause: the store's two spellings each had their encoder, and both forwarders dropped the headers of one connection by a list of their own. Change: form::encode and decode, forward::plain::headers::strip.

--- a/crates/catkinusher-platform/src/form/mod.rs
+++ b/crates/catkinusher-platform/src/form/mod.rs
@@ -17,8 +17,9 @@
 use serde::de::DeserializeOwned;
 
 use catkinusher_core::object::Version;
+use catkinusher_core::units;
 
-use crate::error::Result;
+use crate::error::{Bad, Error, Result, Unsendable};
 use crate::store::{Listing, Object, Watched};
 
 pub use native::Native;
@@ -133,3 +134,35 @@
     /// If the body is none of this form.
     fn version(&self, body: &[u8]) -> Result<Version>;
 }
+
+/// Writes a value as JSON.
+///
+/// # Errors
+///
+/// If it has no such form or is larger than `limit` bytes.
+pub fn encode<T>(value: &T, limit: usize) -> Result<Bytes>
+where
+    T: Serialize,
+{
+    let body =
+        serde_json::to_vec(value).map_err(|fault| Error::Unsendable(Unsendable::Form(fault)))?;
+    if body.len() > limit {
+        return Err(Error::Unsendable(Unsendable::Size {
+            size: units::Bytes::new(body.len() as u64),
+            limit: units::Bytes::new(limit as u64),
+        }));
+    }
+    Ok(body.into())
+}
+
+/// Reads a value from JSON.
+///
+/// # Errors
+///
+/// [`Bad::Body`] if it is another.
+pub fn decode<T>(body: &[u8]) -> Result<T>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|fault| Error::Bad(Bad::Body(fault)))
+}
--- a/crates/catkinusher-platform/src/form/native.rs
+++ b/crates/catkinusher-platform/src/form/native.rs
@@ -7,10 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 use catkinusher_core::object::Version;
-use catkinusher_core::units;
 
-use super::{Condition, Form, Wire, escape};
-use crate::error::{Bad, Error, Result, Unsendable};
+use super::{Condition, Form, Wire, decode, encode, escape};
+use crate::error::Result;
 use crate::store::{Listing, Object, VALUE_LIMIT, Watched};
 
 /// Paths under `/v1`, versions as entity tags.
@@ -50,7 +49,7 @@
         T: Serialize,
     {
         let mut wire = Wire::bare(Method::PUT, object_path(kind, name));
-        wire.body = encode(value)?;
+        wire.body = encode(value, VALUE_LIMIT)?;
         let json = HeaderValue::from_static("application/json");
         wire.headers.insert(header::CONTENT_TYPE, json);
         wire.headers.extend(condition_header(condition));
@@ -110,25 +109,3 @@
 fn object_path(kind: &str, name: &str) -> String {
     format!("{}/{}", kind_path(kind), escape(name))
 }
-
-fn encode<T>(value: &T) -> Result<bytes::Bytes>
-where
-    T: Serialize,
-{
-    let body =
-        serde_json::to_vec(value).map_err(|fault| Error::Unsendable(Unsendable::Form(fault)))?;
-    if body.len() > VALUE_LIMIT {
-        return Err(Error::Unsendable(Unsendable::Size {
-            size: units::Bytes::new(body.len() as u64),
-            limit: units::Bytes::new(VALUE_LIMIT as u64),
-        }));
-    }
-    Ok(body.into())
-}
-
-fn decode<T>(body: &[u8]) -> Result<T>
-where
-    T: DeserializeOwned,
-{
-    serde_json::from_slice(body).map_err(|fault| Error::Bad(Bad::Body(fault)))
-}
--- a/crates/catkinusherd/src/forward/plain/headers.rs
+++ b/crates/catkinusherd/src/forward/plain/headers.rs
@@ -25,7 +25,8 @@
 /// The answer's headers that are kept for a repeated key.
 const KEPT_HEADERS: [HeaderName; 2] = [CONTENT_TYPE, LOCATION];
 
-pub(super) fn strip(headers: &mut HeaderMap) {
+/// Drops the headers that concern one connection only.
+pub(crate) fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
@@ -37,6 +38,7 @@
         headers.remove(name);
     }
     headers.remove("keep-alive");
+    headers.remove("proxy-connection");
 }
 
 pub(super) fn kept_headers(headers: &HeaderMap) -> Vec<Header> {
--- a/crates/catkinusherd/src/forward/plain/mod.rs
+++ b/crates/catkinusherd/src/forward/plain/mod.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services, passed through with method, headers and body.
 
 mod exchange;
-mod headers;
+pub(crate) mod headers;
 mod holder;
 mod job;
 
--- a/crates/catkinusherd/src/gateway/answer.rs
+++ b/crates/catkinusherd/src/gateway/answer.rs
@@ -6,16 +6,14 @@
 
 use bytes::Bytes;
 use catkinusher_core::outcome::Refusal;
-use http::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
-    TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
 use thiserror::Error;
 use tokio::sync::mpsc;
 
 use super::dialect::Dialect;
+use crate::forward::plain::headers::strip;
 
 /// A stream that ended before its last event; the caller's connection is cut.
 #[derive(Debug, Clone, Copy, Error)]
@@ -90,37 +88,9 @@
     whole(status, headers, body.into())
 }
 
-/// Drops the headers that concern one connection only.
-pub(super) fn end_to_end(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    let hop = [
-        CONNECTION,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ];
-    for name in hop {
-        headers.remove(name);
-    }
-}
-
-/// Drops the length too, which our own framing of a stream replaces.
+/// Drops what concerns one connection, and the length, which our own framing of a stream replaces.
 pub(super) fn streamed(headers: &mut HeaderMap) {
-    end_to_end(headers);
+    strip(headers);
     headers.remove(CONTENT_LENGTH);
 }
 
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -19,7 +19,7 @@
 use hyper::client::conn::http1::SendRequest;
 use tracing::info;
 
-use crate::gateway::answer;
+use crate::forward::plain::headers::strip;
 use crate::gateway::dialect::{Culprit, Dialect, Dispatch, Helper, Verdict};
 use crate::gateway::handle::Job;
 use crate::gateway::pool::Link;
@@ -321,7 +321,7 @@
             resume,
         };
         let mut headers = self.head.headers.clone();
-        answer::end_to_end(&mut headers);
+        strip(&mut headers);
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -22,6 +22,7 @@
 use super::dialect::{Ask, Dialect};
 use super::relay;
 use super::state::State;
+use crate::forward::plain::headers::strip;
 
 /// When a node that has no current configuration should be tried again; another may have one.
 const AWAY_WAIT: Span = Span::from_millis(200);
@@ -269,7 +270,7 @@
                 let idle = answer::kept(&head.headers);
                 self.state.keep(address, sender, idle);
                 let mut headers = head.headers;
-                answer::end_to_end(&mut headers);
+                strip(&mut headers);
                 Ok((head.status, headers, whole.to_bytes()))
             }
             Err(detail) => {
