--- a/crates/catkinusher-core/src/freshness/mod.rs
+++ b/crates/catkinusher-core/src/freshness/mod.rs
@@ -34,3 +34,32 @@
         self.age(now).is_some_and(|age| age < limit)
     }
 }
+
+/// Whether the store was away until the answer that has just come.
+///
+/// Entries may lapse while the store is away, and what has lapsed is missing
+/// from the first answer after it. What is removed later has left, even if the
+/// store was away a moment ago.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Absence {
+    failures: u32,
+}
+
+impl Absence {
+    /// Takes in that a call failed, and tells how many have failed in a row.
+    pub const fn on_failure(&mut self) -> u32 {
+        self.failures += 1;
+        self.failures
+    }
+
+    /// Whether the next answer is the first after a failure.
+    #[must_use]
+    pub const fn is_away(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Takes in an answer, and tells how many calls had failed before it.
+    pub const fn on_answer(&mut self) -> u32 {
+        std::mem::replace(&mut self.failures, 0)
+    }
+}
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use catkinusher_core::freshness::Absence;
 use catkinusher_core::id::{DataCentreId, UpstreamId};
 use catkinusher_core::time::Time;
 use catkinusher_platform::{Error, Event, Object, Store, Version};
@@ -18,15 +19,15 @@
 /// The wait for changes of what rarely changes; keep-alive probes find dead connections sooner.
 const LONG_WAIT: Duration = Duration::from_secs(8);
 
+/// The wait of a call that only catches up, the least that the store takes.
+const NO_WAIT: Duration = Duration::from_millis(1);
+
 /// The pause after a first failed call; each costs, also when refused.
 const PAUSE: Duration = Duration::from_millis(60);
 
 /// The longest pause after failed calls, well within the bounds on changes.
 const PAUSE_LIMIT: Duration = Duration::from_millis(800);
 
-/// How long after the store's return a missing upstream may only have lapsed.
-const RETURN_SPAN: Duration = Duration::from_secs(2);
-
 /// What follows one kind of object.
 trait Follow: Send + 'static {
     /// The kind.
@@ -84,14 +85,14 @@
     F: Follow,
 {
     let mut version = None;
-    let mut failures = 0_u32;
-    let mut returned = None;
+    let mut absence = Absence::default();
     loop {
         let began = clock::elapsed();
-        let outcome = step(&store, &mut what, version, returned, state.now()).await;
+        let outcome = step(&store, &mut what, version, absence.is_away()).await;
         match outcome {
             Ok(next) => {
                 state.metrics.on_call(what.kind(), "answered");
+                let failures = absence.on_answer();
                 if failures > 0 {
                     info!(
                         event = "store",
@@ -99,9 +100,7 @@
                         outcome = "regained",
                         failures
                     );
-                    returned = Some(state.now());
                 }
-                failures = 0;
                 version = Some(next);
                 what.on_confirmed(began);
             }
@@ -110,12 +109,11 @@
                 version = None;
             }
             Err(error) => {
-                if failures == 0 {
+                if !absence.is_away() {
                     warn!(event = "store", kind = what.kind(), outcome = "lost", %error);
                 }
                 state.metrics.on_call(what.kind(), "failed");
-                failures += 1;
-                let pause = PAUSE * (1 << failures.min(5));
+                let pause = PAUSE * (1 << absence.on_failure().min(5));
                 state.timers.after(pause.min(PAUSE_LIMIT)).await;
             }
         }
@@ -126,14 +124,12 @@
     store: &Store<F>,
     what: &mut What,
     version: Option<Version>,
-    returned: Option<Time>,
-    now: Time,
+    outage: bool,
 ) -> Result<Version, Error>
 where
     F: catkinusher_platform::form::Form,
     What: Follow,
 {
-    let outage = returned.is_some_and(|at| now.since(at) < RETURN_SPAN);
     match version {
         None => {
             let listing = store.list(what.kind(), "").await?;
@@ -141,7 +137,9 @@
             Ok(listing.version)
         }
         Some(version) => {
-            let watched = store.watch(what.kind(), version, what.wait()).await?;
+            // After an outage only what is known at once may have lapsed in it.
+            let wait = if outage { NO_WAIT } else { what.wait() };
+            let watched = store.watch(what.kind(), version, wait).await?;
             for event in watched.events {
                 what.on_event(event, outage);
             }
