Name the bounds of placing in the field's terms, and share the tests' model service

Cause: together, burden, huge and behind were words of our own, and two tests wrote the users' engine rates and upstreams each. Change: answers, writer_part, reading_limit, part_limit, part_target, shrink_delay, fill_share and Overload::Queued; tests/site holds the service of both tests. Conclusion: no behaviour changes.

--- a/crates/catkinusher-core/src/fleet/place/long.rs
+++ b/crates/catkinusher-core/src/fleet/place/long.rs
@@ -74,7 +74,7 @@
     where
         R: Rng,
     {
-        if self.reading > self.policy.huge {
+        if self.reading > self.policy.reading_limit {
             return Err(Overload::Full(RETRY_LONG));
         }
         let (writing, readers) = self.engines.split_at(self.writers);
@@ -83,7 +83,7 @@
         } else {
             0
         };
-        let own = self.reading > self.policy.burden * (most as u32 + 1);
+        let own = self.reading > self.policy.writer_part * (most as u32 + 1);
         let groups = if own {
             [readers, writing]
         } else {
@@ -102,9 +102,9 @@
         }
         let engines = || helpers.iter().copied().chain([first]);
         if self.waits(part, engines()) {
-            return Err(Overload::Behind(LOOK_AGAIN));
+            return Err(Overload::Queued(LOOK_AGAIN));
         }
-        if part > self.policy.most * 2 {
+        if part > self.policy.part_limit * 2 {
             return Err(Overload::Full(RETRY_LONG));
         }
         let shared = self.share_memory(&helpers)?;
@@ -219,7 +219,7 @@
             let calmer = calm(b).cmp(&calm(a));
             calmer.then(score(a).total_cmp(&score(b)))
         });
-        let parts = self.reading.as_secs_f64() / self.policy.part.as_secs_f64();
+        let parts = self.reading.as_secs_f64() / self.policy.part_target.as_secs_f64();
         let wanted = (parts.ceil() as usize).max(2) - 1;
         let free = others.iter().filter(|one| calm(one)).count().max(1);
         others.truncate(wanted.min(most).min(free));
@@ -241,7 +241,7 @@
             return false;
         }
         // Every engine that reads such a part makes all others there wait for it.
-        if part > self.policy.most {
+        if part > self.policy.part_limit {
             return true;
         }
         let shorter = part.as_millis() as f64 * SHORTER;
--- a/crates/catkinusher-core/src/fleet/place/sizing.rs
+++ b/crates/catkinusher-core/src/fleet/place/sizing.rs
@@ -53,11 +53,11 @@
     ) -> usize {
         let count = engines.len();
         let under: u32 = engines.iter().map(|one| one.load.shorts).sum();
-        let each = f64::from(rates.slots) * policy.fill;
+        let each = f64::from(rates.slots) * policy.fill_share;
         let wanted = (f64::from(under + 1) / each.max(1.0)).ceil() as usize;
         let most = count.saturating_sub((count / LONG_PART).max(1)).max(1);
         self.shorts
-            .update(wanted.clamp(1, most), policy.hold, now)
+            .update(wanted.clamp(1, most), policy.shrink_delay, now)
             .min(count.saturating_sub(1))
     }
 
@@ -71,10 +71,12 @@
     ) -> usize {
         let under: u32 = behind.iter().map(|one| one.load.longs).sum();
         let held: u64 = behind.iter().map(|one| one.load.held).sum();
-        let by_count = (under + 1).div_ceil(policy.together.max(1)) as usize;
+        let by_count = (under + 1).div_ceil(policy.answers.max(1)) as usize;
         let by_memory = (held as f64 / (rates.memory.get() as f64 * MEMORY_FILL)).ceil() as usize;
         let most = (behind.len() / WRITER_PART).max(1);
         let wanted = by_count.max(by_memory).clamp(1, most);
-        self.writers.update(wanted, policy.hold, now).min(most)
+        self.writers
+            .update(wanted, policy.shrink_delay, now)
+            .min(most)
     }
 }
--- a/crates/catkinusher-core/src/fleet/place/types.rs
+++ b/crates/catkinusher-core/src/fleet/place/types.rs
@@ -15,23 +15,23 @@
     /// The reading time above which a prompt counts as long.
     pub long: Duration,
     /// The share of an engine's places that short prompts fill before the next engine is opened.
-    pub fill: f64,
+    pub fill_share: f64,
     /// The reading time that each engine should get of a long prompt.
-    pub part: Duration,
+    pub part_target: Duration,
     /// The longest part that an engine reads while its prompt may still wait for more engines.
-    pub most: Duration,
+    pub part_limit: Duration,
     /// The reading time above which a prompt is refused, as it would hold up too many others.
-    pub huge: Duration,
+    pub reading_limit: Duration,
     /// The longest part that may hold up an engine that writes.
-    pub burden: Duration,
+    pub writer_part: Duration,
     /// The most engines that read one prompt together.
     pub helpers: usize,
     /// The answers of long prompts that one engine writes together.
-    pub together: u32,
+    pub answers: u32,
     /// Requests beyond the places of an upstream that may wait there.
     pub waiting: u32,
     /// How long the number of engines for short prompts stays after less is needed.
-    pub hold: Duration,
+    pub shrink_delay: Duration,
 }
 
 impl Default for Policy {
@@ -40,23 +40,23 @@
             // Half of what a short stream bears between two events.
             long: Duration::from_millis(110),
             // Leaves room for what other nodes place at the same moment.
-            fill: 0.72,
+            fill_share: 0.72,
             // Smaller parts disturb more engines than they gain.
-            part: Duration::from_millis(300),
+            part_target: Duration::from_millis(300),
             // Short questions that come to its engine meanwhile are late by then.
-            most: Duration::from_millis(1200),
+            part_limit: Duration::from_millis(1200),
             // Some two seconds of all engines of the users' deployments.
-            huge: Duration::from_secs(25),
+            reading_limit: Duration::from_secs(25),
             // With a pass it stays within the pauses of most answers.
-            burden: Duration::from_millis(300),
+            writer_part: Duration::from_millis(300),
             // The most that an engine takes on its list.
             helpers: 16,
             // Their context fills an engine's memory and slows its steps.
-            together: 4,
+            answers: 4,
             // A few requests wait for less than a pass.
             waiting: 2,
             // Some passes; longer holds engines back that long prompts need.
-            hold: Duration::from_millis(700),
+            shrink_delay: Duration::from_millis(700),
         }
     }
 }
@@ -118,7 +118,7 @@
     /// All are full; room is expected after this time.
     Full(Duration),
     /// Shorter prompts are being read; ask again after this time.
-    Behind(Duration),
+    Queued(Duration),
     /// It cannot end in the time that is left, which is so much less than it needs.
     Late(Duration),
     /// No engine's memory holds the prompt.
--- a/crates/catkinusher-core/tests/engines/mod.rs
+++ b/crates/catkinusher-core/tests/engines/mod.rs
@@ -3,14 +3,14 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use catkinusher_core::directory::Service;
-use catkinusher_core::engine::Rates;
-use catkinusher_core::fleet::{Demand, Fleet, Overload, Policy, Upstream, Work};
+use catkinusher_core::fleet::{Demand, Fleet, Overload, Policy, Work};
 use catkinusher_core::time::Time;
-use catkinusher_core::units::{Rate, Tokens};
+use catkinusher_core::units::Tokens;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::site::{model, rates, upstream};
+
 const ENGINES: usize = 16;
 const NODES: usize = 13;
 /// How long requests come, and how long all that came has to end.
@@ -123,42 +123,6 @@
     until: u64,
 }
 
-fn rates() -> Rates {
-    Rates {
-        slots: 16,
-        memory: Tokens::new(450_000),
-        step: 0.925,
-        answer: 0.004_83,
-        context: 0.002_54,
-        read: Rate::per_second(256_000.0),
-        pairs: 0.0917,
-        stride: 46,
-        usual: Tokens::new(1540),
-        joint: true,
-    }
-}
-
-fn service() -> Service {
-    Service {
-        name: "taalhulp".parse().unwrap(),
-        cold: None,
-        engine: Some(rates()),
-    }
-}
-
-fn upstream(number: usize) -> Upstream {
-    Upstream {
-        id: format!("i-{number:02}").parse().unwrap(),
-        service: "taalhulp".parse().unwrap(),
-        address: format!("127.0.0.1:{}", 9000 + number).parse().unwrap(),
-        data_centre: "gent".parse().unwrap(),
-        slots: 16,
-        leaving: false,
-        cold: Duration::ZERO,
-        started: Some(1),
-    }
-}
-
 fn normal(rng: &mut ChaCha8Rng) -> f64 {
     let (a, b): (f64, f64) = (rng.random_range(1e-9..1.0), rng.random_range(0.0..1.0));
     (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos()
@@ -296,7 +260,7 @@
     };
     let node = &mut nodes[ask.node];
     let time = Time::from_millis(now);
-    match node.place(&service(), &demand, policy, time, rng) {
+    match node.place(&model(), &demand, policy, time, rng) {
         Ok(placed) => {
             ask.parts = placed.helpers.len() + 1;
             ask.works.push(node.begin(&placed.first, placed.cost, time));
@@ -310,7 +274,7 @@
             }
             true
         }
-        Err(Overload::Behind(pause)) => {
+        Err(Overload::Queued(pause)) => {
             ask.look = now + pause.as_millis() as u64;
             false
         }
--- a/crates/catkinusher-core/tests/fleet.rs
+++ b/crates/catkinusher-core/tests/fleet.rs
@@ -1,60 +1,21 @@
 //! Placing requests on upstreams, one decision at a time.
 
+mod site;
+
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use catkinusher_core::directory::Service;
-use catkinusher_core::engine::Rates;
-use catkinusher_core::fleet::{
-    Cost, Demand, Fault, Fleet, Load, Overload, Placement, Policy, Upstream,
-};
+use catkinusher_core::fleet::{Cost, Demand, Fault, Fleet, Load, Overload, Placement, Policy};
 use catkinusher_core::time::Time;
-use catkinusher_core::units::{Rate, Tokens};
+use catkinusher_core::units::Tokens;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-
-const SERVICE: &str = "taalhulp";
+use site::{model, rates, upstream};
 
 fn ms(millis: u64) -> Time {
     Time::from_millis(millis)
 }
 
-fn rates() -> Rates {
-    Rates {
-        slots: 16,
-        memory: Tokens::new(450_000),
-        step: 0.925,
-        answer: 0.004_83,
-        context: 0.002_54,
-        read: Rate::per_second(256_000.0),
-        pairs: 0.0917,
-        stride: 46,
-        usual: Tokens::new(1540),
-        joint: true,
-    }
-}
-
-fn model() -> Service {
-    Service {
-        name: SERVICE.parse().unwrap(),
-        cold: Some(Rate::per_second(36.0)),
-        engine: Some(rates()),
-    }
-}
-
-fn upstream(number: usize) -> Upstream {
-    Upstream {
-        id: format!("i-{number:02}").parse().unwrap(),
-        service: SERVICE.parse().unwrap(),
-        address: format!("127.0.0.1:{}", 9000 + number).parse().unwrap(),
-        data_centre: ["gent", "kortrijk"][number % 2].parse().unwrap(),
-        slots: 16,
-        leaving: false,
-        cold: Duration::ZERO,
-        started: Some(1),
-    }
-}
-
 fn fleet(count: usize) -> Fleet {
     let mut fleet = Fleet::new("gent".parse().unwrap());
     fleet.on_list((0..count).map(upstream).collect(), false, ms(0));
@@ -136,7 +97,7 @@
     let small = place(&mut fleet, &long(60_000), ms(0)).unwrap();
     begin(&mut fleet, &small, ms(0));
     let big = place(&mut fleet, &long(300_000), ms(1));
-    assert!(matches!(big, Err(Overload::Behind(_))), "{big:?}");
+    assert!(matches!(big, Err(Overload::Queued(_))), "{big:?}");
     let smaller = place(&mut fleet, &long(45_000), ms(1));
     assert!(smaller.is_ok(), "the shorter goes at once: {smaller:?}");
 }
@@ -150,7 +111,7 @@
     late.spent = Duration::from_secs(4);
     assert!(matches!(
         place(&mut fleet, &late, ms(1)),
-        Err(Overload::Behind(_))
+        Err(Overload::Queued(_))
     ));
     // The reading that was asked is over after two seconds, seen or not.
     assert!(place(&mut fleet, &late, ms(2500)).is_ok());
--- a/crates/catkinusher-core/tests/fleet_load.rs
+++ b/crates/catkinusher-core/tests/fleet_load.rs
@@ -6,6 +6,7 @@
 //! and all pauses are on time.
 
 mod engines;
+mod site;
 
 use engines::{Choice, Mix, Outcome, play};
 
--- a/crates/catkinusherd/src/gateway/attempt/turn.rs
+++ b/crates/catkinusherd/src/gateway/attempt/turn.rs
@@ -30,7 +30,7 @@
         loop {
             let refused = match self.place() {
                 Ok(placed) => return Ok(placed),
-                Err(Overload::Behind(pause)) => {
+                Err(Overload::Queued(pause)) => {
                     self.state.timers.after(pause).await;
                     continue;
                 }
@@ -48,7 +48,7 @@
             after,
         };
         match overload {
-            Overload::Full(wait) | Overload::Behind(wait) => self.trail.told(full(Span::new(wait))),
+            Overload::Full(wait) | Overload::Queued(wait) => self.trail.told(full(Span::new(wait))),
             Overload::TooLong => self.trail.told(full(NONE_WAIT)),
             Overload::Late(needs) => self.trail.told(Refusal::TooLate {
                 predicted: Span::new(needs),
