Refuse ambiguous framing by the bytes of a connection

Cause: equal Content-Length lines, and Content-Length beside Transfer-Encoding, were served, as the HTTP library merges them before a service sees the head. Ruled out: the library has no setting for it; a check of the merged head sees nothing. The library's own head limits do not help either. Change: core::framing follows the requests of a connection by their bytes, and catkinusherd::framed tells the service of each request whether its head, or one before it, was ambiguous; both front and gateway answer 400 and close. Conclusion: a smuggled request is refused whatever the library does.

--- a/crates/catkinusher-core/src/lib.rs
+++ b/crates/catkinusher-core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod fingerprint;
 pub mod fleet;
 pub mod frames;
+pub mod framing;
 pub mod freshness;
 pub mod group;
 pub mod health;
--- /dev/null
+++ b/crates/catkinusherd/src/framed/mod.rs
@@ -0,0 +1,117 @@
+//! Callers' connections whose requests are watched for ambiguous framing.
+//!
+//! The HTTP library merges what makes a head ambiguous before a service sees
+//! it. The bytes are followed beside it, by the core's
+//! [`Scanner`](catkinusher_core::framing::Scanner).
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+
+use catkinusher_core::framing::Scanner;
+use catkinusher_core::outcome::Refusal;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What is known of the requests on one connection.
+#[derive(Debug, Clone, Default)]
+pub struct Framing(Arc<Shared>);
+
+#[derive(Debug, Default)]
+struct Shared {
+    scanner: Mutex<Scanner>,
+    requests: AtomicU64,
+}
+
+impl Framing {
+    /// Counts the next request of the connection, and checks its head.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::BadHead`] if its head, or one before it, is ambiguous.
+    pub fn next(&self) -> Result<(), Refusal> {
+        let request = self.0.requests.fetch_add(1, Ordering::Relaxed);
+        let scanner = self
+            .0
+            .scanner
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        scanner.ambiguity(request).map_or(Ok(()), |ambiguity| {
+            Err(Refusal::BadHead {
+                detail: ambiguity.to_string(),
+            })
+        })
+    }
+
+    fn push(&self, bytes: &[u8]) {
+        let mut scanner = self
+            .0
+            .scanner
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        scanner.push(bytes);
+    }
+}
+
+/// A caller's connection.
+#[derive(Debug)]
+pub struct Framed {
+    stream: TcpStream,
+    framing: Framing,
+}
+
+impl Framed {
+    /// Watches a connection from its first byte on.
+    #[must_use]
+    pub fn new(stream: TcpStream) -> (Self, Framing) {
+        let framing = Framing::default();
+        let watched = framing.clone();
+        (Self { stream, framing }, watched)
+    }
+}
+
+impl AsyncRead for Framed {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut this.stream).poll_read(context, buffer);
+        this.framing.push(&buffer.filled()[before..]);
+        polled
+    }
+}
+
+impl AsyncWrite for Framed {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/catkinusherd/src/front/head.rs
+++ b/crates/catkinusherd/src/front/head.rs
@@ -4,7 +4,7 @@
 
 use catkinusher_core::outcome::Refusal;
 use catkinusher_core::units::Span;
-use http::header::{AUTHORIZATION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderName, Request};
 
 /// Names the time that the caller gives its request, in milliseconds.
@@ -44,22 +44,14 @@
     }
 }
 
-/// Refuses heads that two parties on a path might read in two ways.
+/// Refuses heads whose fields two parties on a path might read in two ways; [`framed`](crate::framed) checks lengths.
 ///
 /// # Errors
 ///
 /// [`Refusal::BadHead`] names what is ambiguous.
 pub fn check<B>(request: &Request<B>) -> Result<(), Refusal> {
     let headers = request.headers();
-    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-    let codings = headers.get_all(TRANSFER_ENCODING).iter().count();
-    let fault = if lengths > 1 {
-        Some("Content-Length stands twice")
-    } else if lengths == 1 && codings > 0 {
-        Some("both Content-Length and Transfer-Encoding stand there")
-    } else if codings > 1 {
-        Some("Transfer-Encoding stands twice")
-    } else if headers.get_all(AUTHORIZATION).iter().count() > 1 {
+    let fault = if headers.get_all(AUTHORIZATION).iter().count() > 1 {
         Some("Authorization stands twice")
     } else if headers.get_all(KEY_HEADER).iter().count() > 1 {
         Some("Idempotency-Key stands twice")
--- a/crates/catkinusherd/src/front/route.rs
+++ b/crates/catkinusherd/src/front/route.rs
@@ -5,7 +5,8 @@
 use catkinusher_core::inventory::{Customer, Service};
 use catkinusher_core::outcome::Refusal;
 use catkinusher_core::units::Span;
-use http::{Method, Request, Response, StatusCode};
+use http::header::CONNECTION;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
 use tracing::info;
@@ -18,12 +19,16 @@
 /// What a caller is told to wait while a node stops or starts.
 const AGAIN: Span = Span::from_secs(1);
 
-/// Serves one request.
-pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Reply> {
+/// Serves one request, unless its framing is refused.
+pub async fn handle(
+    state: Arc<State>,
+    request: Request<Incoming>,
+    framed: Result<(), Refusal>,
+) -> Response<Reply> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => answer::text(StatusCode::OK, "ok\n"),
         (&Method::GET, "/readyz") => ready(&state),
-        _ => accept(state, request).await,
+        _ => accept(state, request, framed).await,
     }
 }
 
@@ -34,7 +39,11 @@
     }
 }
 
-async fn accept(state: Arc<State>, request: Request<Incoming>) -> Response<Reply> {
+async fn accept(
+    state: Arc<State>,
+    request: Request<Incoming>,
+    framed: Result<(), Refusal>,
+) -> Response<Reply> {
     let id = state.new_request();
     let refuse = |refusal: &Refusal| {
         info!(request = %id, refusal = refusal.slug(), "front: refused");
@@ -44,8 +53,12 @@
     let Some(open) = state.stopping.begin(&state) else {
         return refuse(&Refusal::ShuttingDown { after: AGAIN });
     };
-    if let Err(refusal) = head::check(&request) {
-        return refuse(&refusal);
+    if let Err(refusal) = framed.and_then(|()| head::check(&request)) {
+        let mut refused = refuse(&refusal);
+        // Where the next request begins may be in doubt as well.
+        let close = HeaderValue::from_static("close");
+        refused.headers_mut().insert(CONNECTION, close);
+        return refused;
     }
     let catalog = state.catalog();
     if state.config.borrow().version == 0 {
--- a/crates/catkinusherd/src/gateway/front.rs
+++ b/crates/catkinusherd/src/gateway/front.rs
@@ -20,6 +20,7 @@
 use super::dialect::Dialect;
 use super::handle;
 use super::state::State;
+use crate::framed::Framed;
 
 /// How long accepting rests after the system refused a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -73,11 +74,15 @@
         .max_buf_size(limits.head.max(LEAST_BUFFER))
         .auto_date_header(false)
         .half_close(false);
+    let (stream, framing) = Framed::new(stream);
     let service = service_fn(|request| {
         let state = Arc::clone(&state);
+        let framed = framing.next();
         async move {
-            let mut response = handle::handle(Arc::clone(&state), request).await;
-            if state.stopping.is_cancelled() {
+            // After an ambiguous head the next one may begin anywhere.
+            let doubtful = framed.is_err();
+            let mut response = handle::handle(Arc::clone(&state), request, framed).await;
+            if doubtful || state.stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -95,14 +95,22 @@
     }
 }
 
-/// Answers one request.
-pub(super) async fn handle<D>(state: Arc<State<D>>, request: Request<Incoming>) -> Response<Content>
+/// Answers one request, unless its framing is refused.
+pub(super) async fn handle<D>(
+    state: Arc<State<D>>,
+    request: Request<Incoming>,
+    framed: Result<(), Refusal>,
+) -> Response<Content>
 where
     D: Dialect,
 {
     let received = state.now();
     let (head, body) = request.into_parts();
-    let job = match admit(&state, head, body, received).await {
+    let admitted = match framed {
+        Ok(()) => admit(&state, head, body, received).await,
+        Err(refusal) => Err((refusal, String::new())),
+    };
+    let job = match admitted {
         Ok(job) => job,
         Err((refusal, id)) => {
             note(&state, "unknown", &id, &refusal, received);
--- a/crates/catkinusherd/src/lib.rs
+++ b/crates/catkinusherd/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod config;
 pub mod explain;
 pub mod forward;
+pub mod framed;
 pub mod front;
 pub mod gateway;
 pub mod log;
