Count what upstreams fail themselves, and tell peers of it

The gateway also never earned retries by fresh requests, so each node had three for its whole life. Ruled out: crashes and cuts, which none of the traced requests met. Change: an answer that tells of the upstream's own failure counts against it, fades with a half-life, and is told to peers as counts in the load row; a request that may run again is tried elsewhere within the budget, and else gets the failure itself. What all nodes may save up of retries is a share of the bound's slack, shared evenly.

--- a/crates/catkinusher-core/src/fleet/health.rs
+++ b/crates/catkinusher-core/src/fleet/health.rs
@@ -1,11 +1,21 @@
-//! How an upstream treats requests, as far as this node saw.
+//! How an upstream treats requests, as far as this node and its peers saw.
+//!
+//! An upstream that fails at once looks idle and would draw all requests to
+//! it, however well it looks to health checks. So what its requests end with
+//! counts, and nodes tell each other how many have failed.
 
 use std::time::Duration;
 
 use crate::time::Time;
 
-/// The weight of the newest outcome in the share of failures.
-const GAIN: f64 = 0.2;
+/// The weight of the newest outcome in the share of failures: a handful in a row make most of it.
+const GAIN: f64 = 0.15;
+
+/// The time in which a share of failures halves without news, so that an upstream is tried again.
+const HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// The share of failures from which an upstream gets requests only if no other can.
+const SOUND: f64 = 0.5;
 
 /// How long an upstream that cannot be reached rests after its first failure.
 const REST: Duration = Duration::from_millis(400);
@@ -28,6 +38,8 @@
     Absent,
     /// Another upstream has its address.
     Moved,
+    /// It ran the request and answered that it failed.
+    Failed,
 }
 
 impl Fault {
@@ -41,26 +53,33 @@
             Self::Refused => "refused",
             Self::Absent => "absent",
             Self::Moved => "moved",
+            Self::Failed => "failed",
         }
     }
+
+    /// Whether it tells of the upstream itself rather than of the way to it.
+    pub(super) const fn is_own(self) -> bool {
+        matches!(self, Self::Broken | Self::Failed)
+    }
 }
 
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Health {
     share: f64,
+    at: Time,
     streak: u32,
     until: Time,
 }
 
 impl Health {
-    pub(super) fn on_success(&mut self) {
-        self.share *= 1.0 - GAIN;
+    pub(super) fn on_success(&mut self, now: Time) {
+        self.on_outcomes(1, 0, now);
         self.streak = 0;
         self.until = Time::ZERO;
     }
 
     pub(super) fn on_fault(&mut self, fault: Fault, now: Time) {
-        self.share += (1.0 - self.share) * GAIN;
+        self.on_outcomes(0, 1, now);
         if matches!(
             fault,
             Fault::Unreachable | Fault::Silent | Fault::Moved | Fault::Absent
@@ -71,13 +90,26 @@
         }
     }
 
-    /// Whether it rests after failures.
-    pub(super) fn rests(&self, now: Time) -> bool {
-        now < self.until
+    /// Takes in how many requests have succeeded and failed since the last word.
+    pub(super) fn on_outcomes(&mut self, done: u32, failed: u32, now: Time) {
+        let count = done + failed;
+        if count == 0 {
+            return;
+        }
+        let old = (1.0 - GAIN).powf(f64::from(count));
+        let latest = f64::from(failed) / f64::from(count);
+        self.share = self.failing(now) * old + latest * (1.0 - old);
+        self.at = now;
+    }
+
+    /// Whether it should get requests that others can serve.
+    pub(super) fn is_sound(&self, now: Time) -> bool {
+        now >= self.until && self.failing(now) < SOUND
     }
 
     /// The share of requests that it fails, the latest first.
-    pub(super) const fn failing(&self) -> f64 {
-        self.share
+    pub(super) fn failing(&self, now: Time) -> f64 {
+        let halvings = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.share * (-halvings).exp2()
     }
 }
--- a/crates/catkinusher-core/src/fleet/load.rs
+++ b/crates/catkinusher-core/src/fleet/load.rs
@@ -64,10 +64,14 @@
     pub held: u64,
     /// All reading that was ever asked of it, in milliseconds; it only grows.
     pub given: u64,
+    /// All requests that it has answered as it should; it only grows.
+    pub done: u32,
+    /// All requests that it has failed by its own fault; it only grows.
+    pub failed: u32,
 }
 
 /// The fields of a [`Load`] in their order.
-type Row = (u32, u32, u32, u64, u64, u64, u64);
+type Row = (u32, u32, u32, u64, u64, u64, u64, u32, u32);
 
 impl From<Load> for Row {
     fn from(load: Load) -> Self {
@@ -79,12 +83,14 @@
             load.least,
             load.held,
             load.given,
+            load.done,
+            load.failed,
         )
     }
 }
 
 impl From<Row> for Load {
-    fn from((shorts, longs, parts, unread, least, held, given): Row) -> Self {
+    fn from((shorts, longs, parts, unread, least, held, given, done, failed): Row) -> Self {
         Self {
             shorts,
             longs,
@@ -93,6 +99,8 @@
             least,
             held,
             given,
+            done,
+            failed,
         }
     }
 }
@@ -110,6 +118,11 @@
         self.shorts == 0 && self.longs == 0 && self.parts == 0
     }
 
+    /// Whether it was ever used.
+    pub(super) const fn is_used(&self) -> bool {
+        self.given > 0 || self.done > 0 || self.failed > 0 || !self.is_idle()
+    }
+
     const fn count(&mut self, share: Share) -> &mut u32 {
         match share {
             Share::Short => &mut self.shorts,
@@ -125,6 +138,8 @@
         self.unread += other.unread;
         self.held += other.held;
         self.given += other.given;
+        self.done += other.done;
+        self.failed += other.failed;
         self.least = match (self.least, other.least) {
             (0, least) | (least, 0) => least,
             (a, b) if a < b => a,
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -33,8 +33,8 @@
 /// The window in which requests to a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_millis(1100);
 
-/// The nodes that a node assumes to share a cold upstream, as it may not have heard of all.
-const LEAST_NODES: usize = 12;
+/// The nodes among which a node shares what all may do, as it may not have heard of all.
+pub const LEAST_NODES: usize = 12;
 
 #[derive(Debug, Clone)]
 struct Entry {
@@ -191,9 +191,18 @@
                 continue;
             };
             // A peer that was unknown has asked for what it now waits for.
-            let told = before.and_then(|told| told.loads.get(&short));
-            let known = told.map_or(load.given.saturating_sub(load.unread), |told| told.given);
-            entry.backlog.add(load.given.saturating_sub(known), now);
+            let known = before
+                .and_then(|told| told.loads.get(&short).copied())
+                .unwrap_or(Load {
+                    given: load.given.saturating_sub(load.unread),
+                    ..Load::default()
+                });
+            entry
+                .backlog
+                .add(load.given.saturating_sub(known.given), now);
+            let done = load.done.saturating_sub(known.done);
+            let failed = load.failed.saturating_sub(known.failed);
+            entry.health.on_outcomes(done, failed, now);
         }
         let told = self.peers.entry(peer).or_insert_with(|| Told {
             at: now,
@@ -213,7 +222,7 @@
     pub fn loads(&self) -> HashMap<u32, Load> {
         self.entries
             .values()
-            .filter(|entry| entry.own.given > 0 || !entry.own.is_idle())
+            .filter(|entry| entry.own.is_used())
             .map(|entry| (place::short(entry.rank), self.own(entry)))
             .collect()
     }
@@ -313,15 +322,17 @@
     }
 
     /// Notes that an upstream answered as it should.
-    pub fn on_success(&mut self, id: &UpstreamId) {
+    pub fn on_success(&mut self, id: &UpstreamId, now: Time) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.health.on_success();
+            entry.own.done += 1;
+            entry.health.on_success(now);
         }
     }
 
     /// Notes that an upstream failed a request.
     pub fn on_fault(&mut self, id: &UpstreamId, fault: Fault, now: Time) {
         if let Some(entry) = self.entries.get_mut(id) {
+            entry.own.failed += u32::from(fault.is_own());
             entry.health.on_fault(fault, now);
         }
     }
--- a/crates/catkinusher-core/src/fleet/place/long.rs
+++ b/crates/catkinusher-core/src/fleet/place/long.rs
@@ -182,7 +182,7 @@
         one.load.unread as f64
             + f64::from(one.load.longs) * ANSWER_WEIGHT
             + f64::from(one.load.shorts) * CROWD_WEIGHT
-            + one.entry.health.failing() * FAILING_WEIGHT
+            + one.failing * FAILING_WEIGHT
     }
 
     /// The engine of a group that answers, if one has room.
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -58,13 +58,15 @@
     entry: &'a Entry,
     load: Load,
     near: bool,
+    /// The share of requests that it fails.
+    failing: f64,
 }
 
 impl Candidate<'_> {
     /// What counts against it besides its load, as a share of its places.
     fn handicap(&self) -> f64 {
         let far = if self.near { 0.0 } else { NEAR_GAIN };
-        FAILING_WEIGHT * self.entry.health.failing() + far
+        FAILING_WEIGHT * self.failing + far
     }
 }
 
@@ -111,8 +113,8 @@
             .filter(|(_, entry)| self.bears(entry, cold, now))
             .collect();
         let fresh = |id: &UpstreamId| !avoid.contains(id);
-        let sound = |entry: &Entry| !entry.health.rests(now);
-        // Upstreams that rest or have failed this request come only when all do.
+        let sound = |entry: &Entry| entry.health.is_sound(now);
+        // Upstreams that rest, fail or have failed this request come only when all do.
         let best = usable
             .iter()
             .map(|(id, entry)| (fresh(id), sound(entry)))
@@ -126,6 +128,7 @@
                 entry,
                 load: self.load(entry, now),
                 near: entry.upstream.data_centre == self.home,
+                failing: entry.health.failing(now),
             })
             .collect()
     }
--- a/crates/catkinusher-core/tests/fleet.rs
+++ b/crates/catkinusher-core/tests/fleet.rs
@@ -313,7 +313,7 @@
         let placed = place(&mut fleet, &short(), ms(millis)).unwrap();
         assert_ne!(placed.first, first);
     }
-    fleet.on_success(&first);
+    fleet.on_success(&first, ms(0));
     let chosen: BTreeSet<_> = (0..20)
         .map(|_| {
             let placed = place(&mut fleet, &short(), ms(500)).unwrap();
--- /dev/null
+++ b/crates/catkinusher-core/tests/regress_failing_at_once.rs
@@ -0,0 +1,71 @@
+//! An upstream that failed each request at once looked idle, and drew a quarter of all requests of 99 nodes to it.
+
+#[path = "site/mod.rs"]
+mod site;
+
+use std::time::Duration;
+
+use catkinusher_core::fleet::{Demand, Fault, Fleet, Policy};
+use catkinusher_core::id::UpstreamId;
+use catkinusher_core::time::Time;
+use catkinusher_core::units::Tokens;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use site::{model, upstream};
+
+const NODES: usize = 40;
+const ENGINES: usize = 12;
+const REQUESTS: usize = 4000;
+
+/// Each node places in turn, hears of its peers after each hundred requests, and one engine fails all.
+#[test]
+fn nodes_tell_each_other_which_engine_fails() {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut nodes: Vec<Fleet> = (0..NODES)
+        .map(|_| {
+            let mut fleet = Fleet::new("gent".parse().unwrap());
+            fleet.on_list((0..ENGINES).map(upstream).collect(), false, Time::ZERO);
+            fleet
+        })
+        .collect();
+    let demand = Demand {
+        prompt: Tokens::new(5000),
+        answer: Tokens::new(2000),
+        objective: Duration::from_millis(300),
+        patience: Duration::from_secs(2),
+        left: Duration::from_secs(10),
+        ..Demand::default()
+    };
+    let mut bad: Option<UpstreamId> = None;
+    let mut lost = 0;
+    for request in 0..REQUESTS {
+        // A hundred requests a second.
+        let now = Time::from_millis(request as u64 * 10);
+        let node = request % NODES;
+        let fleet = &mut nodes[node];
+        let placed = fleet
+            .place(&model(), &demand, &Policy::default(), now, &mut rng)
+            .unwrap();
+        let bad = bad.get_or_insert_with(|| placed.first.clone());
+        let work = fleet.begin(&placed.first, placed.cost, now);
+        fleet.end(work);
+        if placed.first == *bad {
+            lost += 1;
+            fleet.on_fault(&placed.first, Fault::Failed, now);
+        } else {
+            fleet.on_success(&placed.first, now);
+        }
+        let loads = fleet.loads();
+        for (other, peer) in nodes.iter_mut().enumerate() {
+            if other != node {
+                peer.on_loads(node as u64, loads.clone(), false, now);
+            }
+        }
+    }
+    let share = lost as f64 / REQUESTS as f64;
+    assert!(
+        share < 0.02,
+        "{share} of all requests went to the engine that fails"
+    );
+    assert!(lost > 12, "it is tried again now and then: {lost}");
+}
--- a/crates/catkinusherd/src/framed/mod.rs
+++ b/crates/catkinusherd/src/framed/mod.rs
@@ -75,13 +75,13 @@
 impl AsyncRead for Framed {
     fn poll_read(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut this.stream).poll_read(context, buffer);
-        this.framing.push(&buffer.filled()[before..]);
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
+        this.framing.push(&buf.filled()[before..]);
         polled
     }
 }
@@ -89,26 +89,26 @@
 impl AsyncWrite for Framed {
     fn poll_write(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
     }
 
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[IoSlice<'_>],
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, parts)
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/catkinusherd/src/gateway/attempt/judge.rs
+++ b/crates/catkinusherd/src/gateway/attempt/judge.rs
@@ -63,7 +63,7 @@
         let now = self.state.now();
         self.state.fleet().on_fault(upstream, fault, now);
         self.state.metrics.on_call("upstream", fault.name());
-        if !matches!(fault, Fault::Refused | Fault::Absent) {
+        if !matches!(fault, Fault::Refused | Fault::Absent | Fault::Failed) {
             self.state.pool.forget(address);
         }
         if !self.avoid.contains(upstream) {
@@ -81,10 +81,6 @@
 
     /// Decides on another attempt, and takes it off the service's budget.
     pub(in crate::gateway) fn again(&self, upstream: &UpstreamId) -> Result<(), Reason> {
-        let policy = retry::Policy {
-            attempts: self.route.attempts,
-            ..self.state.settings.retries.clone()
-        };
         let failure = Failure {
             idempotent: self.repeats(),
             outcome: self.trail.outcome(),
@@ -97,7 +93,11 @@
             deadline: self.deadline,
         };
         let now = self.state.now();
-        let decision = self.state.with_budget(&self.service, |budget| {
+        let decision = self.state.with_budget(&self.service, |policy, budget| {
+            let policy = retry::Policy {
+                attempts: self.route.attempts,
+                ..policy.clone()
+            };
             retry::decide(&policy, budget, &failure, now, &mut rand::rng())
         });
         match decision {
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use catkinusher_core::directory::{Customer, Directory, Repeat, Route};
+use catkinusher_core::fleet::Fault;
 use catkinusher_core::id::{ServiceId, UpstreamId};
 use catkinusher_core::outcome::{Refusal, Trail};
 use catkinusher_core::time::Time;
@@ -184,6 +185,7 @@
         head,
     };
     state.opened();
+    state.with_budget(&job.service, |policy, budget| budget.on_fresh(policy));
     let mut job = job;
     job.body = read(&job, body, limit).await.map_err(fail)?;
     Ok(job)
@@ -223,10 +225,16 @@
     D: Dialect,
 {
     let state = Arc::clone(&job.state);
+    let mut failure = None;
     loop {
         let live = match job.send(job.ask.resume).await {
             Ok(live) => live,
             Err(refusal) => {
+                // What an upstream said of its failure tells the caller more than why no other ran it.
+                if let Some((status, headers, body)) = failure {
+                    job.told(status);
+                    return answer::whole(status, headers, body);
+                }
                 note(&state, job.kind(), job.name(), &refusal, job.received);
                 return answer::refusal(&state.dialect, &refusal);
             }
@@ -235,7 +243,11 @@
             return relay::start(job, live);
         }
         match job.collect(live).await {
-            Ok((status, headers, body)) => {
+            Ok((upstream, status, headers, body)) => {
+                if status.is_server_error() && job.again(&upstream).is_ok() {
+                    failure = Some((status, headers, body));
+                    continue;
+                }
                 job.told(status);
                 return answer::whole(status, headers, body);
             }
@@ -257,7 +269,7 @@
     async fn collect(
         &mut self,
         live: Live<D>,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), Option<Refusal>> {
+    ) -> Result<(UpstreamId, StatusCode, HeaderMap, Bytes), Option<Refusal>> {
         let Live {
             response,
             upstream,
@@ -274,20 +286,19 @@
         drop(held);
         match whole {
             Ok(whole) => {
-                self.state.fleet().on_success(&upstream);
+                if head.status.is_server_error() {
+                    self.fail(&upstream, address, Fault::Failed, head.status.as_str());
+                } else {
+                    self.state.fleet().on_success(&upstream, self.state.now());
+                }
                 let idle = answer::kept(&head.headers);
                 self.state.keep(address, sender, idle);
                 let mut headers = head.headers;
                 strip(&mut headers);
-                Ok((head.status, headers, whole.to_bytes()))
+                Ok((upstream, head.status, headers, whole.to_bytes()))
             }
             Err(detail) => {
-                self.fail(
-                    &upstream,
-                    address,
-                    catkinusher_core::fleet::Fault::Broken,
-                    &detail,
-                );
+                self.fail(&upstream, address, Fault::Broken, &detail);
                 match self.again(&upstream) {
                     Ok(()) => Err(None),
                     Err(_reason) => Err(Some(Refusal::AnswerBroken {
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -89,7 +89,8 @@
         let end = pass(&job, &mut live, &mut events, &caller, &mut progress, pause).await;
         match end {
             End::Whole => {
-                job.state.fleet().on_success(&upstream);
+                let now = job.state.now();
+                job.state.fleet().on_success(&upstream, now);
                 job.state.keep(address, live.sender, head);
                 break "whole";
             }
--- a/crates/catkinusherd/src/gateway/settings.rs
+++ b/crates/catkinusherd/src/gateway/settings.rs
@@ -28,7 +28,7 @@
     pub wait: Duration,
     /// How long a stop may take.
     pub grace: Duration,
-    /// How retries are held back.
+    /// How retries are held back; its burst is what all nodes together may save up.
     pub retries: Retries,
     /// How requests are placed.
     pub placing: Placing,
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use catkinusher_core::directory::Directory;
-use catkinusher_core::fleet::Fleet;
+use catkinusher_core::fleet::{Fleet, LEAST_NODES};
 use catkinusher_core::freshness::Freshness;
 use catkinusher_core::id::ServiceId;
-use catkinusher_core::retry::Budget;
+use catkinusher_core::retry::{self, Budget};
 use catkinusher_core::time::Time;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -82,17 +82,28 @@
         lock(&self.view)
     }
 
-    /// The budget of retries of a service.
+    /// How retries are held back, and the budget of a service.
+    ///
+    /// What all nodes may save up is shared evenly. A new node starts with one
+    /// retry, as all may have started at the same moment.
     pub(super) fn with_budget<T, F>(&self, service: &ServiceId, act: F) -> T
     where
-        F: FnOnce(&mut Budget) -> T,
+        F: FnOnce(&retry::Policy, &mut Budget) -> T,
     {
+        let nodes = self.fleet().nodes(self.now()).max(LEAST_NODES) as f64;
+        let policy = retry::Policy {
+            burst: (self.settings.retries.burst / nodes).max(1.0),
+            ..self.settings.retries.clone()
+        };
+        let first = retry::Policy {
+            burst: 1.0,
+            ..policy.clone()
+        };
         let mut budgets = lock(&self.budgets);
-        let policy = &self.settings.retries;
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| Budget::new(policy));
-        act(budget)
+            .or_insert_with(|| Budget::new(&first));
+        act(&policy, budget)
     }
 
     /// Whether what is known of keys may be acted on.
