Prefer an engine with places to a wait, even if it failed now and then

Cause: after six engines had failed all requests for 7 s, their share of failures counted up to 2.0 of their places, so short prompts queued on 35 to 39 full engines of 48 and were refused (Full 800 ms, 166 times) beside idle ones. Ruled out: too few engines for short prompts; 42 to 47 were open to them. Change: a full engine is behind by more than any share of failures.

--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -35,7 +35,10 @@
 const TIE: f64 = 0.02;
 
 /// What a share of failures weighs, as a multiple of that share of an upstream's places.
-const FAILING_WEIGHT: f64 = 2.0;
+const FAILING_WEIGHT: f64 = 1.0;
+
+/// What a wait for a place weighs, as a share of an engine's places: more than any other handicap.
+const FULL_WEIGHT: f64 = 2.0;
 
 /// When a place of a plain service is free again, a few calls later.
 const RETRY_PLAIN: Duration = Duration::from_millis(150);
@@ -233,8 +236,9 @@
     let limit = policy.long.as_millis() as f64;
     let score = |one: &Candidate<'_>| {
         let busy = f64::from(one.load.answers()) / slots;
+        let full = if busy < 1.0 { 0.0 } else { FULL_WEIGHT };
         let reading = one.load.unread as f64 / limit;
-        busy + reading + one.handicap()
+        busy + full + reading + one.handicap()
     };
     let front = &engines[..shorts.clamp(1, engines.len())];
     let mut best = pick(front, score, rng).ok_or(Overload::None)?;
--- a/crates/catkinusher-core/tests/fleet.rs
+++ b/crates/catkinusher-core/tests/fleet.rs
@@ -352,3 +352,26 @@
         assert_eq!(left, (0, 0, 0, 0, 0));
     }
 }
+
+#[test]
+fn an_engine_that_failed_now_and_then_comes_before_a_wait_for_a_place() {
+    let mut fleet = fleet(3);
+    let rare = upstream(0).id;
+    for _ in 0..3 {
+        fleet.on_fault(&rare, Fault::Failed, ms(0));
+    }
+    let places = rates().slots as usize;
+    for _ in 0..3 * places {
+        let placed = place(&mut fleet, &short(), ms(1)).unwrap();
+        begin(&mut fleet, &placed, ms(1));
+    }
+    let under: Vec<u32> = fleet
+        .loads()
+        .into_values()
+        .map(|load| load.shorts)
+        .collect();
+    assert!(
+        under.iter().all(|count| *count as usize == places),
+        "no engine has requests that wait while another has places: {under:?}"
+    );
+}
