Let a few nodes read the store for all, and gather changes before the next watch

Ruled out: longer waits alone, as the age of a confirmation bounds trust; stale reads, as they prove nothing. Change: core::confirm picks three nodes in the eyes of all that read the configuration each 0.6 s; the others ask them by datagrams, and what a reader knew before it answered holds since before the question. A node without an answer reads by itself. Watches wait 25 s, gather changes for 250 ms, are woken when a peer knows more, and rest in an outage until the configuration is confirmed.

--- a/crates/catkinusher-core/src/lib.rs
+++ b/crates/catkinusher-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod class;
+pub mod confirm;
 pub mod cost;
 pub mod digest;
 pub mod digests;
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -0,0 +1,146 @@
+//! Confirming the configuration, by reads or by the word of peers that read.
+//!
+//! [`Confirmer`](catkinusher_core::confirm::Confirmer) decides; here its reads
+//! and questions are carried out.
+
+use std::sync::Arc;
+
+use catkinusher_core::confirm::{Action, Confirmer, Word, Worth};
+use catkinusher_platform::{Priority, Store};
+use serde_json::Value;
+use tokio::net::UdpSocket;
+use tracing::{debug, info, warn};
+
+use super::clock;
+use super::dialect::{Dialect, Source};
+use super::peers::{self, Message};
+use super::state::State;
+use super::watch;
+
+/// Starts reading and asking.
+pub(super) fn start<D, S>(
+    state: &Arc<State<D>>,
+    store: &Store<S::Form>,
+    source: &S,
+    socket: Arc<UdpSocket>,
+) where
+    D: Dialect,
+    S: Source,
+{
+    tokio::spawn(run(
+        Arc::clone(state),
+        store.at(Priority::Configuration),
+        source.clone(),
+        socket,
+    ));
+}
+
+async fn run<D, S>(state: Arc<State<D>>, store: Store<S::Form>, source: S, socket: Arc<UdpSocket>)
+where
+    D: Dialect,
+    S: Source,
+{
+    loop {
+        let actions = state.confirmer().poll(clock::elapsed());
+        for action in actions {
+            match action {
+                Action::Read => {
+                    let (state, store, source) =
+                        (Arc::clone(&state), store.clone(), source.clone());
+                    tokio::spawn(async move { read(&state, &store, &source).await });
+                }
+                Action::Ask(peer, number) => {
+                    peers::send(&socket, &Message::Ask(number), peer);
+                }
+            }
+        }
+        let now = state.now();
+        for gone in state.fleet().expire(now) {
+            info!(event = "upstream", upstream = %gone, outcome = "lapsed");
+        }
+        let pause = state.confirmer().pause();
+        tokio::select! {
+            () = state.timers.after(pause) => {}
+            () = state.wakes.confirm.notified() => {}
+        }
+    }
+}
+
+async fn read<D, S>(state: &State<D>, store: &Store<S::Form>, source: &S)
+where
+    D: Dialect,
+    S: Source,
+{
+    let began = clock::elapsed();
+    let (kind, name) = S::CONFIGURATION;
+    match store.get::<Value>(kind, name).await {
+        Ok(object) => {
+            if let Some(object) = object {
+                watch::adopt(state, source, &object.name, object.value);
+            }
+            state.metrics.on_call("confirm", "answered");
+            on_confirmed(state, |confirmer| confirmer.on_read(began));
+        }
+        Err(error) => {
+            let now = clock::elapsed();
+            let mut confirmer = state.confirmer();
+            if !confirmer.is_alone(now) {
+                warn!(event = "store", kind, outcome = "unconfirmed", %error);
+            }
+            confirmer.on_failure(now);
+            drop(confirmer);
+            state.metrics.on_call("confirm", "failed");
+        }
+    }
+}
+
+/// Answers a peer's question.
+pub(super) fn answer<D>(state: &State<D>, number: u64) -> Option<Word> {
+    let known = state.view().known();
+    state.confirmer().tell(number, known, clock::elapsed())
+}
+
+/// Takes in a peer's answer.
+pub(super) fn on_word<D>(state: &State<D>, word: &Word) {
+    let revision = state.view().known().revision;
+    let worth = on_confirmed(state, |confirmer| confirmer.on_word(word, revision));
+    match worth {
+        Worth::Confirmed => {}
+        Worth::Behind => {
+            debug!("confirm: a peer knows revision {}", word.known.revision);
+            state.wakes.confirm.notify_one();
+        }
+        Worth::Nothing => return,
+    }
+    let mut view = state.view();
+    let upstreams = view.upstreams.lags(word.known.upstreams);
+    let drained = view.drained.lags(word.known.drained);
+    drop(view);
+    for (lags, kind, wake) in [
+        (upstreams, "upstreams", &state.wakes.upstreams),
+        (drained, "drained", &state.wakes.drained),
+    ] {
+        if lags {
+            info!(event = "store", kind, outcome = "behind");
+            wake.notify_one();
+        }
+    }
+}
+
+/// Lets the watches go on at once if this is the first confirmation after an outage.
+fn on_confirmed<D, T, F>(state: &State<D>, act: F) -> T
+where
+    F: FnOnce(&mut Confirmer) -> T,
+{
+    let now = clock::elapsed();
+    let mut confirmer = state.confirmer();
+    let before = confirmer.is_alone(now);
+    let done = act(&mut confirmer);
+    let after = confirmer.is_alone(now);
+    drop(confirmer);
+    if before && !after {
+        info!(event = "store", outcome = "confirmed");
+        state.wakes.watches();
+    }
+    done
+}
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod answer;
 mod attempt;
 mod clock;
+mod confirm;
 mod front;
 mod handle;
 mod metrics;
@@ -90,7 +91,8 @@
             }
         }
         watch::start(&self.state, &self.store, &self.source);
-        peers::start(&self.state, &self.store, &self.source).await?;
+        let socket = peers::start(&self.state, &self.store, &self.source).await?;
+        confirm::start(&self.state, &self.store, &self.source, socket);
         let serving = tokio::spawn(front::serve(Arc::clone(&self.state), callers));
         stop::wait(&self.state, serving).await?;
         peers::leave(&self.state, &self.store, &self.source).await;
--- a/crates/catkinusherd/src/gateway/peers.rs
+++ b/crates/catkinusherd/src/gateway/peers.rs
@@ -1,8 +1,7 @@
-//! Telling peers what this node has under way.
+//! Telling peers what this node has under way, and what it knows of the store.
 //!
-//! Each report is whole and replaces the one before, so that a lost one costs
-//! freshness only. Reports go as datagrams: a connection that goes silent would
-//! withhold them just when they matter.
+//! All goes as datagrams: a connection that goes silent would withhold reports
+//! just when they matter, and a lost datagram is mended by the next.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,6 +9,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use catkinusher_core::confirm::Word;
 use catkinusher_core::fleet::Load;
 use catkinusher_core::rendezvous::Salt;
 use catkinusher_platform::{Priority, Store};
@@ -19,6 +19,7 @@
 
 use super::dialect::{Dialect, Source};
 use super::state::State;
+use super::{clock, confirm};
 
 const SALT: Salt = Salt::new(0x7065_6572);
 
@@ -48,7 +49,8 @@
 
 /// What one node has under way: all of it, or what has changed since the last report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Report {
+#[serde(into = "Row", from = "Row")]
+pub(super) struct Report {
     node: u64,
     life: u32,
     number: u64,
@@ -59,23 +61,63 @@
 /// The fields of a [`Report`] in their order, as traffic between data centres costs.
 type Row = (u64, u32, u64, bool, Vec<(u32, Load)>);
 
-impl Report {
-    fn write(&self) -> Result<Vec<u8>, ciborium::ser::Error<std::io::Error>> {
-        let mut bytes = Vec::new();
-        let row = (self.node, self.life, self.number, self.whole, &self.loads);
-        ciborium::into_writer(&row, &mut bytes)?;
-        Ok(bytes)
+impl From<Report> for Row {
+    fn from(report: Report) -> Self {
+        let Report {
+            node,
+            life,
+            number,
+            whole,
+            loads,
+        } = report;
+        (node, life, number, whole, loads)
     }
+}
 
-    fn read(bytes: &[u8]) -> Result<Self, ciborium::de::Error<std::io::Error>> {
-        let (node, life, number, whole, loads) = ciborium::from_reader::<Row, _>(bytes)?;
-        Ok(Self {
+impl From<Row> for Report {
+    fn from((node, life, number, whole, loads): Row) -> Self {
+        Self {
             node,
             life,
             number,
             whole,
             loads,
-        })
+        }
+    }
+}
+
+/// What goes between nodes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum Message {
+    /// What a node has under way.
+    #[serde(rename = "r")]
+    Report(Report),
+    /// A question how fresh the configuration is, by number.
+    #[serde(rename = "a")]
+    Ask(u64),
+    /// The answer to such a question.
+    #[serde(rename = "w")]
+    Word(Word),
+}
+
+/// Sends a message; one that cannot be sent is as good as lost on the way.
+pub(super) fn send(socket: &UdpSocket, message: &Message, peer: SocketAddr) {
+    let Some(bytes) = write(message) else {
+        return;
+    };
+    if let Err(error) = socket.try_send_to(&bytes, peer) {
+        debug!("peers: cannot tell {peer}: {error}");
+    }
+}
+
+fn write(message: &Message) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    match ciborium::into_writer(message, &mut bytes) {
+        Ok(()) => Some(bytes),
+        Err(error) => {
+            warn!("peers: a message has no form: {error}");
+            None
+        }
     }
 }
 
@@ -88,7 +130,7 @@
     state: &Arc<State<D>>,
     store: &Store<S::Form>,
     _source: &S,
-) -> anyhow::Result<()>
+) -> anyhow::Result<Arc<UdpSocket>>
 where
     D: Dialect,
     S: Source,
@@ -106,8 +148,8 @@
         Arc::clone(&sender),
     ));
     tokio::spawn(tell(Arc::clone(state), Arc::clone(&socket), receiver));
-    tokio::spawn(hear(Arc::clone(state), socket, sender));
-    Ok(())
+    tokio::spawn(hear(Arc::clone(state), Arc::clone(&socket), sender));
+    Ok(socket)
 }
 
 /// Takes this node off the list of peers.
@@ -228,12 +270,8 @@
         }
         told = loads;
         report.number += 1;
-        let bytes = match report.write() {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                warn!("peers: a report has no form: {error}");
-                continue;
-            }
+        let Some(bytes) = write(&Message::Report(report.clone())) else {
+            continue;
         };
         let known = peers.borrow().clone();
         for peer in known {
@@ -254,7 +292,7 @@
     let mut bytes = vec![0; REPORT_LIMIT];
     let mut latest = HashMap::<u64, (u32, u64)>::new();
     loop {
-        let length = match socket.recv_from(&mut bytes).await {
+        let (length, from) = match socket.recv_from(&mut bytes).await {
             Ok((length, from)) => {
                 // A node that came after the last list tells of itself.
                 peers.send_if_modified(|known| {
@@ -264,7 +302,8 @@
                     }
                     new
                 });
-                length
+                state.confirmer().on_heard(from, clock::elapsed());
+                (length, from)
             }
             Err(error) => {
                 debug!("peers: cannot hear: {error}");
@@ -272,9 +311,23 @@
                 continue;
             }
         };
-        let Ok(report) = Report::read(&bytes[..length]) else {
-            state.metrics.on_call("peer", "bad-report");
-            continue;
+        let report = match ciborium::from_reader(&bytes[..length]) {
+            Ok(Message::Report(report)) => report,
+            Ok(Message::Ask(number)) => {
+                if let Some(word) = confirm::answer(&state, number) {
+                    send(&socket, &Message::Word(word), from);
+                }
+                continue;
+            }
+            Ok(Message::Word(word)) => {
+                confirm::on_word(&state, &word);
+                continue;
+            }
+            Err(error) => {
+                debug!("peers: a message from {from} cannot be read: {error}");
+                state.metrics.on_call("peer", "bad-message");
+                continue;
+            }
         };
         let seen = latest.entry(report.node).or_default();
         // Datagrams may overtake each other; a new life counts from anew.
--- a/crates/catkinusherd/src/gateway/settings.rs
+++ b/crates/catkinusherd/src/gateway/settings.rs
@@ -24,8 +24,8 @@
     pub peers: SocketAddr,
     /// How long a belief about keys may be acted on without confirmation.
     pub trust: Duration,
-    /// How long a wait for changes of the configuration lasts.
-    pub wait: Duration,
+    /// How old the confirmation of the configuration should get at most while all is well.
+    pub rhythm: Duration,
     /// How long a stop may take.
     pub grace: Duration,
     /// How retries are held back; its burst is what all nodes together may save up.
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -5,10 +5,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use catkinusher_core::confirm::{Confirmer, Known};
 use catkinusher_core::directory::Directory;
 use catkinusher_core::fleet::{Fleet, LEAST_NODES};
-use catkinusher_core::freshness::Freshness;
 use catkinusher_core::id::ServiceId;
+use catkinusher_core::object::Version;
 use catkinusher_core::retry::{self, Budget};
 use catkinusher_core::time::Time;
 use tokio::sync::Notify;
@@ -25,12 +26,72 @@
 /// It believes a second no, so that callers go elsewhere before this node must refuse them.
 const READY_MARGIN: Duration = Duration::from_millis(900);
 
-/// What is known of the configuration, and since when.
+/// What is known of the store's objects.
 #[derive(Debug, Default)]
 pub(super) struct View {
     pub(super) directory: Option<Arc<Directory>>,
-    pub(super) freshness: Freshness,
     pub(super) listed: bool,
+    pub(super) upstreams: Followed,
+    pub(super) drained: Followed,
+}
+
+/// How far a watch has come.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Followed {
+    /// All changes up to this version are known.
+    pub(super) seen: Version,
+    /// The newest change.
+    pub(super) newest: Version,
+    /// Whether a peer knew of a later change when it last answered.
+    behind: bool,
+}
+
+impl Followed {
+    /// Takes in an answer of the store.
+    pub(super) fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
+        self.seen = self.seen.max(seen);
+        self.newest = self.newest.max(newest.unwrap_or_default());
+    }
+
+    /// Whether a peer has known of a later change for two answers in a row.
+    pub(super) fn lags(&mut self, peer: Version) -> bool {
+        let before = self.behind;
+        self.behind = peer > self.seen;
+        if before && self.behind {
+            self.behind = false;
+            return true;
+        }
+        false
+    }
+}
+
+impl View {
+    /// How far this node knows the store's objects.
+    pub(super) fn known(&self) -> Known {
+        Known {
+            revision: self.directory.as_ref().map_or(0, |one| one.revision()),
+            upstreams: self.upstreams.newest,
+            drained: self.drained.newest,
+        }
+    }
+}
+
+/// Wakes what follows the store.
+#[derive(Debug, Default)]
+pub(super) struct Wakes {
+    pub(super) confirm: Notify,
+    pub(super) configuration: Notify,
+    pub(super) upstreams: Notify,
+    pub(super) drained: Notify,
+}
+
+impl Wakes {
+    /// Wakes all watches, as the store answers again.
+    pub(super) fn watches(&self) {
+        self.configuration.notify_one();
+        self.upstreams.notify_one();
+        self.drained.notify_one();
+    }
 }
 
 #[derive(Debug)]
@@ -42,6 +103,8 @@
     pub(super) stopping: CancellationToken,
     pub(super) closing: CancellationToken,
     pub(super) changed: Notify,
+    pub(super) wakes: Wakes,
+    confirmer: Mutex<Confirmer>,
     view: Mutex<View>,
     fleet: Mutex<Fleet>,
     budgets: Mutex<BTreeMap<ServiceId, Budget>>,
@@ -53,6 +116,7 @@
 impl<D> State<D> {
     pub(super) fn new(settings: Settings, dialect: D) -> Self {
         let fleet = Fleet::new(settings.data_centre.clone());
+        let confirmer = Confirmer::new(settings.peers, settings.rhythm);
         Self {
             settings,
             dialect,
@@ -61,6 +125,8 @@
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             changed: Notify::new(),
+            wakes: Wakes::default(),
+            confirmer: Mutex::new(confirmer),
             view: Mutex::default(),
             fleet: Mutex::new(fleet),
             budgets: Mutex::default(),
@@ -78,6 +144,10 @@
         lock(&self.fleet)
     }
 
+    pub(super) fn confirmer(&self) -> MutexGuard<'_, Confirmer> {
+        lock(&self.confirmer)
+    }
+
     pub(super) fn view(&self) -> MutexGuard<'_, View> {
         lock(&self.view)
     }
@@ -109,19 +179,20 @@
     /// Whether what is known of keys may be acted on.
     pub(super) fn trusted(&self) -> bool {
         let now = clock::elapsed();
-        self.view().freshness.within(self.settings.trust, now)
+        let freshness = self.confirmer().freshness();
+        freshness.within(self.settings.trust, now)
     }
 
     /// Whether the balancer should send callers here.
     pub(super) fn is_ready(&self) -> bool {
         let now = clock::elapsed();
+        let fresh = self
+            .confirmer()
+            .freshness()
+            .within(self.settings.rhythm + READY_MARGIN, now);
         let view = self.view();
-        let ready = !self.stopping.is_cancelled()
-            && view.listed
-            && view.directory.is_some()
-            && view
-                .freshness
-                .within(self.settings.wait + READY_MARGIN, now);
+        let ready =
+            !self.stopping.is_cancelled() && view.listed && view.directory.is_some() && fresh;
         drop(view);
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             tracing::info!(event = "ready", ready);
@@ -133,8 +204,8 @@
     pub(super) fn report(&self) -> String {
         let view = self.view();
         let revision = view.directory.as_ref().map_or(0, |one| one.revision());
-        let age = view.freshness.age(clock::elapsed());
         drop(view);
+        let age = self.confirmer().freshness().age(clock::elapsed());
         let fleet = self.fleet();
         let beliefs = Beliefs {
             revision,
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -7,17 +7,19 @@
 
 use catkinusher_core::freshness::Absence;
 use catkinusher_core::id::{DataCentreId, UpstreamId};
-use catkinusher_core::time::Time;
 use catkinusher_platform::{Error, Event, Object, Store, Version};
 use serde_json::Value;
+use tokio::sync::Notify;
 use tracing::{info, warn};
 
-use super::clock;
 use super::dialect::{Dialect, Source};
 use super::state::State;
 
-/// The wait for changes of what rarely changes; keep-alive probes find dead connections sooner.
-const LONG_WAIT: Duration = Duration::from_secs(8);
+/// How long one call waits for changes, within the store's limit; peers tell sooner of what a silent connection withholds.
+const WAIT: Duration = Duration::from_secs(25);
+
+/// How long changes are gathered after the first, far within the bounds on them: each answer is a call.
+const GATHER: Duration = Duration::from_millis(250);
 
 /// The wait of a call that only catches up, the least that the store takes.
 const NO_WAIT: Duration = Duration::from_millis(1);
@@ -25,16 +27,16 @@
 /// The pause after a first failed call; each costs, also when refused.
 const PAUSE: Duration = Duration::from_millis(60);
 
-/// The longest pause after failed calls, well within the bounds on changes.
-const PAUSE_LIMIT: Duration = Duration::from_millis(800);
+/// The most doublings of the pause after failed calls; a confirmed configuration ends it at once.
+const DOUBLINGS: u32 = 5;
 
 /// What follows one kind of object.
 trait Follow: Send + 'static {
     /// The kind.
     fn kind(&self) -> &'static str;
 
-    /// How long to wait for changes.
-    fn wait(&self) -> Duration;
+    /// What wakes its watch.
+    fn wake(&self) -> &Notify;
 
     /// Takes in all objects; `outage` tells that the store was away until just now.
     fn on_list(&mut self, objects: Vec<Object<Value>>, outage: bool);
@@ -42,8 +44,8 @@
     /// Takes in a change.
     fn on_event(&mut self, event: Event<Value>, outage: bool);
 
-    /// Takes in that a read which began at `began` has confirmed all before.
-    fn on_confirmed(&mut self, began: Time);
+    /// Takes in that all changes up to `seen` are known, the newest of them if there were any.
+    fn on_answer(&mut self, seen: Version, newest: Option<Version>);
 }
 
 /// Starts the watches.
@@ -87,10 +89,9 @@
     let mut version = None;
     let mut absence = Absence::default();
     loop {
-        let began = clock::elapsed();
         let outcome = step(&store, &mut what, version, absence.is_away()).await;
         match outcome {
-            Ok(next) => {
+            Ok(Read { next, newest }) => {
                 state.metrics.on_call(what.kind(), "answered");
                 let failures = absence.on_answer();
                 if failures > 0 {
@@ -101,8 +102,11 @@
                         failures
                     );
                 }
-                version = Some(next);
-                what.on_confirmed(began);
+                let first = version.replace(next).is_none();
+                what.on_answer(next, newest);
+                if newest.is_some() && !first {
+                    state.timers.after(GATHER).await;
+                }
             }
             Err(Error::Compacted { after }) => {
                 info!(event = "store", kind = what.kind(), outcome = "compacted", %after);
@@ -113,19 +117,30 @@
                     warn!(event = "store", kind = what.kind(), outcome = "lost", %error);
                 }
                 state.metrics.on_call(what.kind(), "failed");
-                let pause = PAUSE * (1 << absence.on_failure().min(5));
-                state.timers.after(pause.min(PAUSE_LIMIT)).await;
+                let pause = PAUSE * (1 << absence.on_failure().min(DOUBLINGS));
+                tokio::select! {
+                    () = state.timers.after(pause) => {}
+                    () = what.wake().notified() => {}
+                }
             }
         }
     }
 }
 
+/// What one call has brought.
+struct Read {
+    /// The version after which to go on.
+    next: Version,
+    /// The version of the newest change in it.
+    newest: Option<Version>,
+}
+
 async fn step<F, What>(
     store: &Store<F>,
     what: &mut What,
     version: Option<Version>,
     outage: bool,
-) -> Result<Version, Error>
+) -> Result<Read, Error>
 where
     F: catkinusher_platform::form::Form,
     What: Follow,
@@ -133,17 +148,34 @@
     match version {
         None => {
             let listing = store.list(what.kind(), "").await?;
+            let newest = listing.objects.iter().map(|object| object.version).max();
             what.on_list(listing.objects, outage);
-            Ok(listing.version)
+            Ok(Read {
+                next: listing.version,
+                newest,
+            })
         }
         Some(version) => {
             // After an outage only what is known at once may have lapsed in it.
-            let wait = if outage { NO_WAIT } else { what.wait() };
-            let watched = store.watch(what.kind(), version, wait).await?;
+            let wait = if outage { NO_WAIT } else { WAIT };
+            let watched = tokio::select! {
+                watched = store.watch(what.kind(), version, wait) => watched?,
+                // The waiting call may have gone silent.
+                () = what.wake().notified() => store.watch(what.kind(), version, NO_WAIT).await?,
+            };
+            // What was removed may still bear the version of its last change.
+            let version = |event: &Event<Value>| match event.value {
+                Some(_) => event.version,
+                None => watched.version,
+            };
+            let newest = watched.events.iter().map(version).max();
             for event in watched.events {
                 what.on_event(event, outage);
             }
-            Ok(watched.version)
+            Ok(Read {
+                next: watched.version,
+                newest,
+            })
         }
     }
 }
@@ -153,36 +185,34 @@
     source: S,
 }
 
-impl<D, S> Configuration<D, S>
+/// Takes in the object that holds the configuration, if it is newer than what is known.
+pub(super) fn adopt<D, S>(state: &State<D>, source: &S, name: &str, value: Value)
 where
-    D: Dialect,
     S: Source,
 {
-    fn take(&self, name: &str, value: Value) {
-        if name != S::CONFIGURATION.1 {
-            return;
-        }
-        let directory = match self.source.directory(value) {
-            Ok(directory) => directory,
-            Err(fault) => {
-                warn!(event = "configuration", outcome = "bad", fault);
-                return;
-            }
-        };
-        let mut view = self.state.view();
-        let present = view.directory.as_ref().map(|one| one.revision());
-        // An answer that was overtaken must not bring an older revision back.
-        if present.is_some_and(|present| present >= directory.revision()) {
+    if name != S::CONFIGURATION.1 {
+        return;
+    }
+    let directory = match source.directory(value) {
+        Ok(directory) => directory,
+        Err(fault) => {
+            warn!(event = "configuration", outcome = "bad", fault);
             return;
         }
-        info!(
-            event = "configuration",
-            revision = directory.revision(),
-            before = present,
-            routes = directory.routes(),
-        );
-        view.directory = Some(Arc::new(directory));
+    };
+    let mut view = state.view();
+    let present = view.directory.as_ref().map(|one| one.revision());
+    // An answer that was overtaken must not bring an older revision back.
+    if present.is_some_and(|present| present >= directory.revision()) {
+        return;
     }
+    info!(
+        event = "configuration",
+        revision = directory.revision(),
+        before = present,
+        routes = directory.routes(),
+    );
+    view.directory = Some(Arc::new(directory));
 }
 
 impl<D, S> Follow for Configuration<D, S>
@@ -194,25 +224,23 @@
         S::CONFIGURATION.0
     }
 
-    fn wait(&self) -> Duration {
-        self.state.settings.wait
+    fn wake(&self) -> &Notify {
+        &self.state.wakes.configuration
     }
 
     fn on_list(&mut self, objects: Vec<Object<Value>>, _outage: bool) {
         for object in objects {
-            self.take(&object.name, object.value);
+            adopt(&self.state, &self.source, &object.name, object.value);
         }
     }
 
     fn on_event(&mut self, event: Event<Value>, _outage: bool) {
         if let Some(value) = event.value {
-            self.take(&event.name, value);
+            adopt(&self.state, &self.source, &event.name, value);
         }
     }
 
-    fn on_confirmed(&mut self, began: Time) {
-        self.state.view().freshness.on_confirmed(began);
-    }
+    fn on_answer(&mut self, _seen: Version, _newest: Option<Version>) {}
 }
 
 struct Upstreams<D, S> {
@@ -263,8 +291,8 @@
         S::UPSTREAMS
     }
 
-    fn wait(&self) -> Duration {
-        LONG_WAIT
+    fn wake(&self) -> &Notify {
+        &self.state.wakes.upstreams
     }
 
     fn on_list(&mut self, objects: Vec<Object<Value>>, outage: bool) {
@@ -296,11 +324,8 @@
         }
     }
 
-    fn on_confirmed(&mut self, _began: Time) {
-        let now = self.state.now();
-        for gone in self.state.fleet().expire(now) {
-            info!(event = "upstream", upstream = %gone, outcome = "lapsed");
-        }
+    fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
+        self.state.view().upstreams.on_answer(seen, newest);
     }
 }
 
@@ -330,8 +355,8 @@
         S::DRAINED
     }
 
-    fn wait(&self) -> Duration {
-        LONG_WAIT
+    fn wake(&self) -> &Notify {
+        &self.state.wakes.drained
     }
 
     fn on_list(&mut self, objects: Vec<Object<Value>>, _outage: bool) {
@@ -354,5 +379,7 @@
         self.update();
     }
 
-    fn on_confirmed(&mut self, _began: Time) {}
+    fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
+        self.state.view().drained.on_answer(seen, newest);
+    }
 }
