Gather changes of the store for 400 ms, list peers each minute

Cause: after the readers came, each node still made about 14 calls for the registrations of 61 upstreams at the start, and three to wake watches that had not failed. Change: 400 ms of gathering, far within the bound on drains; watches are woken only after a confirmation was lost; the list of peers is a repair.

--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -134,11 +134,11 @@
 {
     let now = clock::elapsed();
     let mut confirmer = state.confirmer();
-    let before = confirmer.is_alone(now);
+    let lost = confirmer.freshness().age(now).is_some() && confirmer.is_alone(now);
     let done = act(&mut confirmer);
-    let after = confirmer.is_alone(now);
+    let regained = lost && !confirmer.is_alone(now);
     drop(confirmer);
-    if before && !after {
+    if regained {
         info!(event = "store", outcome = "confirmed");
         state.wakes.watches();
     }
--- a/crates/catkinusherd/src/gateway/peers.rs
+++ b/crates/catkinusherd/src/gateway/peers.rs
@@ -29,8 +29,11 @@
 /// The longest time without a report, a few of which may be lost before a peer counts as gone.
 const RHYTHM: Duration = Duration::from_millis(800);
 
-/// How often the list of peers is read again; it changes with machines only.
-const LIST_PERIOD: Duration = Duration::from_secs(20);
+/// How often the list of peers is read again; new nodes tell of themselves, so that this is a repair.
+const LIST_PERIOD: Duration = Duration::from_secs(60);
+
+/// How often idle connections that have run out are closed.
+const SWEEP_PERIOD: Duration = Duration::from_secs(20);
 
 /// How soon the list is read again after a registration; nodes that start together register together.
 const SETTLE: Duration = Duration::from_millis(900);
@@ -227,8 +230,11 @@
             }
             changed
         });
-        state.pool.sweep(state.now());
-        state.timers.after(LIST_PERIOD).await;
+        let until = state.now() + LIST_PERIOD;
+        while state.now() < until {
+            state.pool.sweep(state.now());
+            state.timers.after(SWEEP_PERIOD).await;
+        }
     }
 }
 
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -19,7 +19,7 @@
 const WAIT: Duration = Duration::from_secs(25);
 
 /// How long changes are gathered after the first, far within the bounds on them: each answer is a call.
-const GATHER: Duration = Duration::from_millis(250);
+const GATHER: Duration = Duration::from_millis(400);
 
 /// The wait of a call that only catches up, the least that the store takes.
 const NO_WAIT: Duration = Duration::from_millis(1);
