Spread the memory of long prompts over the engines that read them

Change: a prompt above 120,000 tokens is held in shares of 75,000 by the engines that read it, by leases as prompts above one memory were before; engines that answer are counted by their answers alone.

--- a/crates/catkinusher-core/src/fleet/place/long.rs
+++ b/crates/catkinusher-core/src/fleet/place/long.rs
@@ -43,14 +43,17 @@
 /// When a prompt that waits looks again, less than half a pass.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
-/// The share of an engine's memory that one prompt takes which several engines hold.
-const MEMORY_SHARE: f64 = 0.6;
+/// The tokens above which a prompt's memory is spread over the engines that read it.
+///
+/// One long prompt after the other would fill the engines that answer, and
+/// each step there costs the whole context that it holds.
+const SPREAD_LEAST: Tokens = Tokens::new(120_000);
 
-/// The tokens of an engine's memory that such a prompt leaves to others.
-const MEMORY_RESERVE: u64 = 40_000;
+/// The tokens of a prompt whose memory is spread that one engine should hold.
+const SHARE_TARGET: u64 = 75_000;
 
-/// The least tokens that are worth an order to an engine.
-const LEAST_SHARE: Tokens = Tokens::new(1000);
+/// The tokens of an engine's memory that such a prompt leaves to others: blocks, and short answers that come.
+const MEMORY_RESERVE: u64 = 40_000;
 
 /// When engines have room for a long prompt again, about the length of its reading and its answer.
 const RETRY_LONG: Duration = Duration::from_secs(4);
@@ -91,7 +94,7 @@
         };
         let first = groups
             .into_iter()
-            .find_map(|group| self.first(group, rng))
+            .find_map(|group| self.first(group, most, rng))
             .ok_or(Overload::Full(RETRY_LONG))?;
         let helpers = self.helpers(readers, first, most);
         let part = self.reading / (helpers.len() as u32 + 1);
@@ -107,7 +110,7 @@
         if part > self.policy.part_limit * 2 {
             return Err(Overload::Full(RETRY_LONG));
         }
-        let shared = self.share_memory(&helpers)?;
+        let (kept, shared) = self.share_memory(first, &helpers)?;
         let wait = engines()
             .map(|one| one.load.unread)
             .max()
@@ -119,7 +122,7 @@
         };
         Ok(Placement {
             first: first.id.clone(),
-            cost: cost(Share::Long, self.kept()),
+            cost: cost(Share::Long, kept),
             helpers: helpers
                 .iter()
                 .zip(shared)
@@ -139,43 +142,43 @@
         self.demand.prompt + self.demand.answer
     }
 
-    /// The most tokens of one prompt that are set aside on one engine.
-    fn most_shared(&self) -> Tokens {
-        Tokens::new((self.rates.memory.get() as f64 * MEMORY_SHARE) as u64)
+    /// Over how many engines its memory should be spread, of `most` that read it.
+    fn spread(&self, most: usize) -> u64 {
+        if self.whole() <= SPREAD_LEAST {
+            return 1;
+        }
+        let wanted = self.whole().get().div_ceil(SHARE_TARGET);
+        wanted.min(most as u64 + 1)
     }
 
-    /// The tokens that the engine that answers holds.
-    fn kept(&self) -> Tokens {
-        if self.whole() <= self.rates.memory {
-            self.whole()
-        } else {
-            self.most_shared()
-        }
+    fn free(&self, one: &Candidate<'_>) -> u64 {
+        self.rates.memory.get().saturating_sub(one.load.held)
     }
 
-    /// The tokens that each helper sets aside, if the prompt is larger than one engine's memory.
-    fn share_memory(&self, helpers: &[&Candidate<'_>]) -> Result<Vec<Tokens>, Overload> {
-        let mut left = self.whole().saturating_sub(self.kept());
-        let shares = helpers
-            .iter()
-            .map(|one| {
-                let free = self.rates.memory.get().saturating_sub(one.load.held);
-                // Engines count memory in blocks, and short answers come meanwhile.
-                let free = free.saturating_sub(MEMORY_RESERVE);
-                let share = left.min(self.most_shared()).min(Tokens::new(free));
-                let share = if share < LEAST_SHARE {
-                    Tokens::ZERO
-                } else {
-                    share
-                };
-                left = left.saturating_sub(share);
-                share
-            })
-            .collect();
-        if left > Tokens::ZERO {
+    /// The tokens that the engine which answers holds, and those that each helper sets aside.
+    fn share_memory(
+        &self,
+        first: &Candidate<'_>,
+        helpers: &[&Candidate<'_>],
+    ) -> Result<(Tokens, Vec<Tokens>), Overload> {
+        let spread = self.spread(helpers.len());
+        let share = self.whole().get().div_ceil(spread);
+        let mut kept = self.whole().get();
+        let mut shares = vec![Tokens::ZERO; helpers.len()];
+        let mut emptiest: Vec<usize> = (0..helpers.len()).collect();
+        emptiest.sort_by_key(|place| helpers[*place].load.held);
+        for place in emptiest {
+            let room = self.free(helpers[place]).saturating_sub(MEMORY_RESERVE);
+            if kept <= share || room < share {
+                break;
+            }
+            shares[place] = Tokens::new(share);
+            kept -= share;
+        }
+        if kept > self.free(first) {
             return Err(Overload::Full(RETRY_LONG));
         }
-        Ok(shares)
+        Ok((Tokens::new(kept), shares))
     }
 
     fn score(one: &Candidate<'_>) -> f64 {
@@ -186,14 +189,18 @@
     }
 
     /// The engine of a group that answers, if one has room.
-    fn first<'a, R>(&self, group: &'a [Candidate<'a>], rng: &mut R) -> Option<&'a Candidate<'a>>
+    fn first<'a, R>(
+        &self,
+        group: &'a [Candidate<'a>],
+        most: usize,
+        rng: &mut R,
+    ) -> Option<&'a Candidate<'a>>
     where
         R: Rng,
     {
-        let fits = |one: &&Candidate<'_>| {
-            one.load.held + self.kept().get() <= self.rates.memory.get()
-                && one.load.answers() < self.rates.slots
-        };
+        let kept = self.whole().get().div_ceil(self.spread(most));
+        let fits =
+            |one: &&Candidate<'_>| kept <= self.free(one) && one.load.answers() < self.rates.slots;
         group
             .iter()
             .filter(fits)
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -210,7 +210,7 @@
     let behind = &engines[shorts..];
     let long = Long {
         engines: behind,
-        writers: sizing.writers(behind, rates, policy, now),
+        writers: sizing.writers(behind, policy, now),
         rates,
         demand,
         policy,
--- a/crates/catkinusher-core/src/fleet/place/sizing.rs
+++ b/crates/catkinusher-core/src/fleet/place/sizing.rs
@@ -6,9 +6,6 @@
 use crate::engine::Rates;
 use crate::time::Time;
 
-/// The share of an engine's memory that long prompts fill before another engine writes.
-const MEMORY_FILL: f64 = 0.7;
-
 /// The part of the engines that long prompts keep, however many short ones there are.
 const LONG_PART: usize = 8;
 
@@ -65,16 +62,13 @@
     pub(super) fn writers(
         &mut self,
         behind: &[Candidate<'_>],
-        rates: &Rates,
         policy: &Policy,
         now: Time,
     ) -> usize {
         let under: u32 = behind.iter().map(|one| one.load.longs).sum();
-        let held: u64 = behind.iter().map(|one| one.load.held).sum();
-        let by_count = (under + 1).div_ceil(policy.answers.max(1)) as usize;
-        let by_memory = (held as f64 / (rates.memory.get() as f64 * MEMORY_FILL)).ceil() as usize;
         let most = (behind.len() / WRITER_PART).max(1);
-        let wanted = by_count.max(by_memory).clamp(1, most);
+        let wanted = (under + 1).div_ceil(policy.answers.max(1)) as usize;
+        let wanted = wanted.clamp(1, most);
         self.writers
             .update(wanted, policy.shrink_delay, now)
             .min(most)
