--- a/crates/catkinusherd/src/gateway/peers.rs
+++ b/crates/catkinusherd/src/gateway/peers.rs
@@ -30,7 +30,7 @@
 const RHYTHM: Duration = Duration::from_millis(800);
 
 /// How often the list of peers is read again; new nodes tell of themselves, so that this is a repair.
-const LIST_PERIOD: Duration = Duration::from_secs(60);
+const LIST_PERIOD: Duration = Duration::from_mins(1);
 
 /// How often idle connections that have run out are closed.
 const SWEEP_PERIOD: Duration = Duration::from_secs(20);
