--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -245,3 +245,37 @@
 fn rank(node: SocketAddr) -> u64 {
     SALT.score("reader", &node.to_string())
 }
+
+/// How far a watch of one kind has come, beside what peers know.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Followed {
+    /// All changes up to this version are known.
+    seen: Version,
+    newest: Version,
+    /// Whether a peer knew of a later change when it last answered.
+    behind: bool,
+}
+
+impl Followed {
+    /// Takes in that the store's answer told all changes up to `seen`, the newest of them if there were any.
+    pub fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
+        self.seen = self.seen.max(seen);
+        self.newest = self.newest.max(newest.unwrap_or_default());
+    }
+
+    /// The version of the newest change.
+    #[must_use]
+    pub const fn newest(&self) -> Version {
+        self.newest
+    }
+
+    /// Whether the watch should be called anew, as a peer knows of the change `newest`.
+    ///
+    /// A change may reach the peer a moment sooner, so that one answer in which
+    /// it knows more tells nothing of the watch.
+    pub fn lags(&mut self, newest: Version) -> bool {
+        let before = self.behind;
+        self.behind = newest > self.seen && !before;
+        before && newest > self.seen
+    }
+}
--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use catkinusher_core::confirm::{Action, Confirmer, Known, Word, Worth};
+use catkinusher_core::confirm::{Action, Confirmer, Followed, Known, Word, Worth};
 use catkinusher_core::object::Version;
 use catkinusher_core::time::Time;
 use rand::{RngExt, SeedableRng};
@@ -287,3 +287,22 @@
         Some(Duration::from_millis(1))
     );
 }
+
+#[test]
+fn a_watch_that_went_silent_is_told_by_the_second_word_of_peers() {
+    let version = Version::new;
+    let mut followed = Followed::default();
+    followed.on_answer(version(10), Some(version(7)));
+    assert_eq!(followed.newest(), version(7));
+    assert!(!followed.lags(version(10)), "the same changes are known");
+    assert!(!followed.lags(version(12)), "the change may be on its way");
+    assert!(followed.lags(version(12)));
+    assert!(
+        !followed.lags(version(12)),
+        "the call that this led to is on its way"
+    );
+    followed.on_answer(version(15), None);
+    assert!(!followed.lags(version(12)), "an empty answer tells as much");
+    assert!(!followed.lags(version(12)));
+    assert_eq!(followed.newest(), version(7), "only changes count");
+}
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -5,11 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use catkinusher_core::confirm::{Confirmer, Known};
+use catkinusher_core::confirm::{Confirmer, Followed, Known};
 use catkinusher_core::directory::Directory;
 use catkinusher_core::fleet::{Fleet, LEAST_NODES};
 use catkinusher_core::id::ServiceId;
-use catkinusher_core::object::Version;
 use catkinusher_core::retry::{self, Budget};
 use catkinusher_core::time::Time;
 use tokio::sync::Notify;
@@ -35,43 +34,13 @@
     pub(super) drained: Followed,
 }
 
-/// How far a watch has come.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Followed {
-    /// All changes up to this version are known.
-    pub(super) seen: Version,
-    /// The newest change.
-    pub(super) newest: Version,
-    /// Whether a peer knew of a later change when it last answered.
-    behind: bool,
-}
-
-impl Followed {
-    /// Takes in an answer of the store.
-    pub(super) fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
-        self.seen = self.seen.max(seen);
-        self.newest = self.newest.max(newest.unwrap_or_default());
-    }
-
-    /// Whether a peer has known of a later change for two answers in a row.
-    pub(super) fn lags(&mut self, peer: Version) -> bool {
-        let before = self.behind;
-        self.behind = peer > self.seen;
-        if before && self.behind {
-            self.behind = false;
-            return true;
-        }
-        false
-    }
-}
-
 impl View {
     /// How far this node knows the store's objects.
     pub(super) fn known(&self) -> Known {
         Known {
             revision: self.directory.as_ref().map_or(0, |one| one.revision()),
-            upstreams: self.upstreams.newest,
-            drained: self.drained.newest,
+            upstreams: self.upstreams.newest(),
+            drained: self.drained.newest(),
         }
     }
 }
