--- a/crates/catkinusherd/src/framed/mod.rs
+++ b/crates/catkinusherd/src/framed/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The HTTP library merges what makes a head ambiguous before a service sees
 //! it. The bytes are followed beside it, by the core's
-//! [`Scanner`](catkinusher_core::framing::Scanner).
+//! [`Scanner`].
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
