Take detours past moved upstreams off the retry budget

A 421 counts as an arrival, and was not taken off the budget. Ruled out: retries after failures, which are taken off it. Change: each such detour takes a retry or the request is refused as not run; an upstream whose address another has rests 4 s, and peers hear of it. That this was the cause is not proved.

--- a/crates/catkinusher-core/src/fleet/health.rs
+++ b/crates/catkinusher-core/src/fleet/health.rs
@@ -59,7 +59,7 @@
 
     /// Whether it tells of the upstream itself rather than of the way to it.
     pub(super) const fn is_own(self) -> bool {
-        matches!(self, Self::Broken | Self::Failed)
+        matches!(self, Self::Broken | Self::Failed | Self::Moved)
     }
 }
 
@@ -84,7 +84,12 @@
             fault,
             Fault::Unreachable | Fault::Silent | Fault::Moved | Fault::Absent
         ) {
-            let rest = REST * (1 << self.streak.min(4));
+            // Who answers there is certain, and its own entry will tell when it is back.
+            let rest = if fault == Fault::Moved {
+                REST_LIMIT
+            } else {
+                REST * (1 << self.streak.min(4))
+            };
             self.streak += 1;
             self.until = now + rest.min(REST_LIMIT);
         }
--- a/crates/catkinusherd/src/gateway/attempt/judge.rs
+++ b/crates/catkinusherd/src/gateway/attempt/judge.rs
@@ -79,6 +79,12 @@
         );
     }
 
+    /// Takes another upstream for a request that has provably not run off the service's budget.
+    pub(super) fn affords_detour(&self) -> bool {
+        self.state
+            .with_budget(&self.service, |policy, budget| budget.take(policy))
+    }
+
     /// Decides on another attempt, and takes it off the service's budget.
     pub(in crate::gateway) fn again(&self, upstream: &UpstreamId) -> Result<(), Reason> {
         let failure = Failure {
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -174,6 +174,10 @@
                 Err(Miss::Moved) => {
                     self.fail(&upstream, address, Fault::Moved, "another has the address");
                     detours += 1;
+                    // It arrived at an upstream all the same, and so counts as a retry.
+                    if !self.affords_detour() {
+                        return Err(self.refused(NONE_WAIT));
+                    }
                 }
                 Err(Miss::Refused(Some(culprit))) => {
                     // The same upstream may still serve it, with other helpers.
