Let a configuration that cannot be read confirm nothing

Cause: a read of the configuration counted as a confirmation even if the object could not be decoded, so that keys which it may have taken away worked on; found by reading the change again.

--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -75,11 +75,15 @@
     let (kind, name) = S::CONFIGURATION;
     match store.get::<Value>(kind, name).await {
         Ok(object) => {
-            if let Some(object) = object {
-                watch::adopt(state, source, &object.name, object.value);
+            let adopted =
+                object.is_none_or(|one| watch::adopt(state, source, &one.name, one.value));
+            if adopted {
+                state.metrics.on_call("confirm", "answered");
+                on_confirmed(state, |confirmer| confirmer.on_read(began));
+            } else {
+                state.metrics.on_call("confirm", "bad");
+                state.confirmer().on_failure(clock::elapsed());
             }
-            state.metrics.on_call("confirm", "answered");
-            on_confirmed(state, |confirmer| confirmer.on_read(began));
         }
         Err(error) => {
             let now = clock::elapsed();
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -185,26 +185,28 @@
     source: S,
 }
 
-/// Takes in the object that holds the configuration, if it is newer than what is known.
-pub(super) fn adopt<D, S>(state: &State<D>, source: &S, name: &str, value: Value)
+/// Takes in the object that holds the configuration, and tells whether it is in force or an older one.
+///
+/// What cannot be read may have taken keys away, so that it confirms nothing.
+pub(super) fn adopt<D, S>(state: &State<D>, source: &S, name: &str, value: Value) -> bool
 where
     S: Source,
 {
     if name != S::CONFIGURATION.1 {
-        return;
+        return true;
     }
     let directory = match source.directory(value) {
         Ok(directory) => directory,
         Err(fault) => {
             warn!(event = "configuration", outcome = "bad", fault);
-            return;
+            return false;
         }
     };
     let mut view = state.view();
     let present = view.directory.as_ref().map(|one| one.revision());
     // An answer that was overtaken must not bring an older revision back.
     if present.is_some_and(|present| present >= directory.revision()) {
-        return;
+        return true;
     }
     info!(
         event = "configuration",
@@ -213,6 +215,7 @@
         routes = directory.routes(),
     );
     view.directory = Some(Arc::new(directory));
+    true
 }
 
 impl<D, S> Follow for Configuration<D, S>
@@ -230,13 +233,14 @@
 
     fn on_list(&mut self, objects: Vec<Object<Value>>, _outage: bool) {
         for object in objects {
-            adopt(&self.state, &self.source, &object.name, object.value);
+            // A read by the confirmer decides what a bad one means for trust.
+            let _in_force = adopt(&self.state, &self.source, &object.name, object.value);
         }
     }
 
     fn on_event(&mut self, event: Event<Value>, _outage: bool) {
         if let Some(value) = event.value {
-            adopt(&self.state, &self.source, &event.name, value);
+            let _in_force = adopt(&self.state, &self.source, &event.name, value);
         }
     }
 
