--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -11,7 +11,6 @@
 //! extend the validity of a configuration
 //! (see [docs/design/platform.md](../../../../docs/design/platform.md)).
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,14 +18,9 @@
 
 use crate::freshness::Freshness;
 use crate::object::Version;
-use crate::rendezvous::Salt;
+use crate::roster::{Duty, Roster};
 use crate::time::Time;
 
-const SALT: Salt = Salt::new(0x636f_6e66_6972);
-
-/// How long a peer counts as live after its last datagram, a few report intervals.
-const PEER_TTL: Duration = Duration::from_millis(2500);
-
 /// The least number of readers, so that two may fail at the same time.
 const MIN_READERS: usize = 3;
 
@@ -45,6 +39,9 @@
 /// The most doublings of the delay between failed reads, which reaches about three seconds; readers try more often.
 const MAX_DOUBLINGS: u32 = 2;
 
+/// The number of a query that only asks whether a silent node is back.
+const PROBE: u64 = 0;
+
 /// The reply to a confirmation query.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfirmReply {
@@ -65,6 +62,8 @@
     pub upstreams: Version,
     /// The version of the newest change to the drained data centres.
     pub drained: Version,
+    /// The version of the newest change to the registered nodes.
+    pub nodes: Version,
 }
 
 /// An action for the caller of [`Confirmer::poll`].
@@ -87,10 +86,28 @@
     Ignored,
 }
 
+/// The last query, until it is answered.
 #[derive(Debug, Clone, Copy)]
-struct PeerEntry {
-    last_seen: Time,
-    rank: u64,
+struct OpenQuery {
+    number: u64,
+    peer: SocketAddr,
+    sent_at: Time,
+}
+
+/// The duty of the nodes that read the store for the others.
+#[must_use]
+pub fn duty() -> Duty {
+    Duty {
+        name: "readers".to_owned(),
+        data_centre: None,
+    }
+}
+
+/// The nodes that read the store for the others, as far as this node knows.
+#[must_use]
+pub fn readers(roster: &Roster, now: Time) -> Vec<SocketAddr> {
+    let count = MIN_READERS.max(roster.len() / NODES_PER_READER);
+    roster.holders(&duty(), count, now)
 }
 
 /// Decides when a node reads the store and which peer it queries.
@@ -98,30 +115,28 @@
 /// All times must come from a clock that advances while the machine is suspended.
 #[derive(Debug, Clone)]
 pub struct Confirmer {
-    own: SocketAddr,
     interval: Duration,
-    peers: HashMap<SocketAddr, PeerEntry>,
     freshness: Freshness,
     reading: bool,
+    /// A peer has a newer configuration.
+    behind: bool,
     read_at: Time,
     query_at: Time,
     /// Consecutive failed reads.
     failures: u32,
     query_number: u64,
-    /// The number of the last query, until it is answered, and when it was sent.
-    open_query: Option<(u64, Time)>,
+    open_query: Option<OpenQuery>,
 }
 
 impl Confirmer {
-    /// Creates the state of the node at address `own`, which aims for a confirmation no older than `interval`.
+    /// Creates the state of a node that aims for a confirmation no older than `interval`.
     #[must_use]
-    pub fn new(own: SocketAddr, interval: Duration) -> Self {
+    pub fn new(interval: Duration) -> Self {
         Self {
-            own,
             interval,
-            peers: HashMap::new(),
             freshness: Freshness::default(),
             reading: false,
+            behind: false,
             read_at: Time::ZERO,
             query_at: Time::ZERO,
             failures: 0,
@@ -136,42 +151,50 @@
         self.freshness
     }
 
-    /// Records a datagram from a peer.
-    pub fn on_peer_seen(&mut self, peer: SocketAddr, now: Time) {
-        let entry = self.peers.entry(peer).or_insert_with(|| PeerEntry {
-            last_seen: now,
-            rank: rank(peer),
-        });
-        entry.last_seen = now;
-    }
-
     /// Returns the actions that are due now; to be called again after [`Self::poll_interval`].
-    pub fn poll(&mut self, now: Time) -> Vec<Action> {
-        self.peers
-            .retain(|_, entry| now.since(entry.last_seen) < PEER_TTL);
-        let readers = self.readers();
+    ///
+    /// A reader that has not answered the query before counts as silent.
+    pub fn poll(&mut self, roster: &mut Roster, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
-        let overdue = self.is_overdue(now);
-        if !self.reading && now >= self.read_at && (overdue || readers.contains(&self.own)) {
-            self.reading = true;
-            actions.push(Action::Read);
-        }
         if now >= self.query_at {
             self.query_at = now + self.interval.mul_f64(QUERY_FRACTION);
+            if let Some(query) = self.open_query.take() {
+                roster.on_unanswered(query.peer, query.sent_at, now);
+            }
             self.query_number += 1;
-            let others: Vec<_> = readers
-                .iter()
-                .filter(|reader| **reader != self.own)
+            let number = self.query_number;
+            let others: Vec<_> = readers(roster, now)
+                .into_iter()
+                .filter(|reader| *reader != roster.own())
                 .collect();
             // Each query goes to the next reader, so that one that does not reply is skipped.
-            if let Some(peer) = others.get(self.query_number as usize % others.len().max(1)) {
-                self.open_query = Some((self.query_number, now));
-                actions.push(Action::Ask(**peer, self.query_number));
+            if let Some(peer) = others.get(number as usize % others.len().max(1)) {
+                self.open_query = Some(OpenQuery {
+                    number,
+                    peer: *peer,
+                    sent_at: now,
+                });
+                actions.push(Action::Ask(*peer, number));
+            }
+            if let Some(peer) = roster.take_probe(&duty(), now) {
+                actions.push(Action::Ask(peer, PROBE));
             }
         }
+        let due = self.behind || self.is_overdue(now) || self.is_reader(roster, now);
+        if !self.reading && now >= self.read_at && due {
+            self.reading = true;
+            self.behind = false;
+            actions.push(Action::Read);
+        }
         actions
     }
 
+    /// Whether this node reads the store for others.
+    #[must_use]
+    pub fn is_reader(&self, roster: &Roster, now: Time) -> bool {
+        readers(roster, now).contains(&roster.own())
+    }
+
     /// The interval at which to call [`Self::poll`].
     #[must_use]
     pub fn poll_interval(&self) -> Duration {
@@ -187,11 +210,11 @@
     }
 
     /// Records a failed read.
-    pub fn on_failure(&mut self, now: Time) {
+    pub fn on_failure(&mut self, roster: &Roster, now: Time) {
         self.reading = false;
         let delay = self.interval.mul_f64(READ_FRACTION);
         // Readers do not back off, as all other nodes depend on them.
-        let is_reader = self.readers().contains(&self.own);
+        let is_reader = self.is_reader(roster, now);
         let doublings = if is_reader {
             0
         } else {
@@ -218,14 +241,14 @@
 
     /// Handles a reply, at a node whose configuration has `revision`.
     pub fn on_reply(&mut self, reply: &ConfirmReply, revision: u64) -> ReplyOutcome {
-        let Some((_, sent_at)) = self
-            .open_query
-            .filter(|(number, _)| *number == reply.number)
+        let Some(OpenQuery { sent_at, .. }) =
+            self.open_query.filter(|query| query.number == reply.number)
         else {
             return ReplyOutcome::Ignored;
         };
         self.open_query = None;
         if reply.known.revision > revision {
+            self.behind = true;
             self.read_at = Time::ZERO;
             return ReplyOutcome::Behind;
         }
@@ -237,25 +260,6 @@
         self.freshness.on_confirmed(confirmed_at);
         ReplyOutcome::Confirmed
     }
-
-    /// The readers, as far as this node knows the live nodes.
-    fn readers(&self) -> Vec<SocketAddr> {
-        let own = (rank(self.own), self.own);
-        let others = self.peers.iter().map(|(peer, entry)| (entry.rank, *peer));
-        let mut nodes: Vec<(u64, SocketAddr)> = others.chain([own]).collect();
-        let count = MIN_READERS.max(nodes.len() / NODES_PER_READER);
-        nodes.sort_unstable();
-        nodes
-            .into_iter()
-            .take(count)
-            .map(|(_, node)| node)
-            .collect()
-    }
-}
-
-/// The position of a node in the order of readers, the same on all nodes.
-fn rank(node: SocketAddr) -> u64 {
-    SALT.score("reader", &node.to_string())
 }
 
 /// The progress of the watch on one kind of object, compared with that of peers.
--- /dev/null
+++ b/crates/catkinusher-core/src/feed/mod.rs
@@ -0,0 +1,167 @@
+//! Recent changes of the store's objects, passed from nodes that watch the store to the others.
+//!
+//! A watch costs the store a call for each change and node. Here a few nodes
+//! watch. The others tell them with each confirmation query what they have seen,
+//! and get the changes since then. A node that missed too much, or hears from no
+//! watching node, reads the store itself, so lost messages cost calls and never
+//! leave a gap (see [docs/design/large.md](../../../../docs/design/large.md)).
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::object::Version;
+
+/// The number of changes that are kept, more than the store's history holds on a busy day.
+const MAX_CHANGES: usize = 2000;
+
+/// The number of changes in one message, so that it fits into a datagram.
+const BATCH_SIZE: usize = 16;
+
+/// A change of one object.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "Row<T>", from = "Row<T>")]
+#[serde(bound(
+    serialize = "T: Clone + Serialize",
+    deserialize = "T: Deserialize<'de>"
+))]
+pub struct Change<T> {
+    /// The version of the store at which it was seen.
+    pub version: Version,
+    /// The name of the object.
+    pub name: String,
+    /// The new value, or `None` if the object was removed.
+    pub value: Option<T>,
+    /// Whether the store was unavailable just before, so that entries may have lapsed.
+    pub outage: bool,
+}
+
+/// The fields of a [`Change`] in order.
+type Row<T> = (Version, String, Option<T>, bool);
+
+impl<T> From<Change<T>> for Row<T> {
+    fn from(change: Change<T>) -> Self {
+        (change.version, change.name, change.value, change.outage)
+    }
+}
+
+impl<T> From<Row<T>> for Change<T> {
+    fn from((version, name, value, outage): Row<T>) -> Self {
+        Self {
+            version,
+            name,
+            value,
+            outage,
+        }
+    }
+}
+
+/// All changes between two versions of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(bound(
+    serialize = "T: Clone + Serialize",
+    deserialize = "T: Deserialize<'de>"
+))]
+pub struct Batch<T> {
+    /// The version after which it begins.
+    #[serde(rename = "a")]
+    pub after: Version,
+    /// The version up to which it is complete.
+    #[serde(rename = "u")]
+    pub upto: Version,
+    /// The changes.
+    #[serde(rename = "c")]
+    pub changes: Vec<Change<T>>,
+}
+
+/// The changes of one kind of object that a node has seen.
+#[derive(Debug, Clone)]
+pub struct ChangeLog<T> {
+    /// The changes are complete from here.
+    after: Version,
+    upto: Version,
+    changes: VecDeque<Change<T>>,
+}
+
+impl<T> Default for ChangeLog<T> {
+    fn default() -> Self {
+        Self {
+            after: Version::NONE,
+            upto: Version::NONE,
+            changes: VecDeque::new(),
+        }
+    }
+}
+
+impl<T> ChangeLog<T>
+where
+    T: Clone,
+{
+    /// The version up to which this node has seen all changes.
+    #[must_use]
+    pub const fn upto(&self) -> Version {
+        self.upto
+    }
+
+    /// Records a complete list of the objects, which hides the changes before it.
+    pub fn on_list(&mut self, version: Version) {
+        self.after = version;
+        self.upto = version;
+        self.changes.clear();
+    }
+
+    /// Records all changes since the last ones, up to the version `upto`.
+    pub fn on_changes<I>(&mut self, upto: Version, changes: I)
+    where
+        I: IntoIterator<Item = Change<T>>,
+    {
+        self.upto = self.upto.max(upto);
+        self.changes.extend(changes);
+        while self.changes.len() > MAX_CHANGES {
+            if let Some(dropped) = self.changes.pop_front() {
+                self.after = dropped.version;
+            }
+        }
+    }
+
+    /// The changes after `version` for a node that has seen all before, or
+    /// `None` if they are no longer complete here.
+    ///
+    /// Changes with the same version are in the same batch.
+    #[must_use]
+    pub fn since(&self, version: Version) -> Option<Vec<Batch<T>>> {
+        if version < self.after || version == Version::NONE {
+            return None;
+        }
+        let mut batches = Vec::new();
+        let mut batch = Batch {
+            after: version,
+            upto: version,
+            changes: Vec::new(),
+        };
+        for change in self.changes.iter().filter(|one| one.version > version) {
+            if batch.changes.len() >= BATCH_SIZE && change.version > batch.upto {
+                let after = batch.upto;
+                let next = Batch {
+                    after,
+                    upto: after,
+                    changes: Vec::new(),
+                };
+                batches.push(std::mem::replace(&mut batch, next));
+            }
+            batch.upto = batch.upto.max(change.version);
+            batch.changes.push(change.clone());
+        }
+        batch.upto = batch.upto.max(self.upto);
+        if batch.upto > batch.after {
+            batches.push(batch);
+        }
+        Some(batches)
+    }
+
+    /// Whether a batch continues what this node has seen.
+    #[must_use]
+    pub fn continues(&self, batch: &Batch<T>) -> bool {
+        self.upto != Version::NONE && batch.after <= self.upto && batch.upto > self.upto
+    }
+}
--- a/crates/catkinusher-core/src/fleet/load.rs
+++ b/crates/catkinusher-core/src/fleet/load.rs
@@ -167,6 +167,30 @@
             };
     }
 
+    /// Takes back what [`Self::merge`] added.
+    pub(super) const fn subtract(&mut self, other: &Self) {
+        self.short_requests = self.short_requests.saturating_sub(other.short_requests);
+        self.long_requests = self.long_requests.saturating_sub(other.long_requests);
+        self.parts = self.parts.saturating_sub(other.parts);
+        self.pending_prefill_ms = self
+            .pending_prefill_ms
+            .saturating_sub(other.pending_prefill_ms);
+        self.held_tokens = self.held_tokens.saturating_sub(other.held_tokens);
+        self.total_prefill_ms = self.total_prefill_ms.saturating_sub(other.total_prefill_ms);
+        self.succeeded = self.succeeded.saturating_sub(other.succeeded);
+        self.failed = self.failed.saturating_sub(other.failed);
+    }
+
+    /// The load after all active requests have ended.
+    pub(super) fn idle(&self) -> Self {
+        Self {
+            total_prefill_ms: self.total_prefill_ms,
+            succeeded: self.succeeded,
+            failed: self.failed,
+            ..Self::default()
+        }
+    }
+
     pub(super) const fn add(&mut self, cost: &Cost) {
         *self.count_mut(cost.kind) += 1;
         let prefill_ms = cost.prefill_time.as_millis() as u64;
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -5,27 +5,30 @@
 //! placement: stale state costs latency, never correctness
 //! (see [docs/design/platform.md](../../../../docs/design/platform.md)).
 
+mod cell;
 mod health;
 mod load;
+mod peers;
 mod place;
 mod upstream;
 
+pub use self::cell::{Cell, Pressure};
 pub use self::health::Fault;
 pub use self::load::{Cost, Load, WorkId, WorkKind};
-pub use self::place::{Basis, Demand, Overload, Placement, Policy};
+pub use self::peers::GRANT_TTL;
+pub use self::place::{Authority, Basis, Demand, Overload, Placement, Policy};
 pub use self::upstream::Upstream;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
+use self::cell::Cells;
 use self::health::Health;
-use crate::id::{DataCentreId, ServiceId, UpstreamId};
+use self::peers::PeerLoads;
+use crate::id::{DataCentreId, UpstreamId};
 use crate::time::Time;
 use crate::units::Rate;
 
-/// How long a peer's loads are used after its last report, a few report intervals.
-const PEER_LOAD_TTL: Duration = Duration::from_millis(2500);
-
 /// How long an upstream is kept after its entry expired during a store outage.
 ///
 /// Live upstreams register again within two seconds of the store's return.
@@ -34,6 +37,9 @@
 /// The window over which requests to a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_millis(1100);
 
+/// The fraction of the rate of a cold upstream that a node uses which places for others.
+const SHARED_COLD_FRACTION: f64 = 0.45;
+
 /// The least number of nodes that a node assumes when it divides a limit of the whole fleet.
 ///
 /// It may not have heard from all nodes yet, so the count of live ones may be too low.
@@ -48,10 +54,21 @@
     expires_at: Option<Time>,
     health: Health,
     own_load: Load,
+    /// The sum of the loads of all peers, and of the grants that they have not reported yet.
+    peer_load: Load,
+    /// The shortest pending prefill of long prompts and parts, by peer and grant.
+    pending_parts: BTreeMap<(u64, u64), u64>,
     backlog: Backlog,
     recent_sends: Vec<Time>,
 }
 
+impl Entry {
+    fn on_send(&mut self, now: Time) {
+        self.recent_sends.retain(|at| now.since(*at) < COLD_WINDOW);
+        self.recent_sends.push(now);
+    }
+}
+
 /// An estimate of the prefill work that an upstream has left, over the requests of all nodes.
 ///
 /// An upstream works through its prompts whether or not their first events are
@@ -74,13 +91,6 @@
     }
 }
 
-#[derive(Debug, Clone)]
-struct PeerLoads {
-    received_at: Time,
-    /// By the short ids of the upstreams.
-    loads: HashMap<u32, Load>,
-}
-
 /// The upstreams as one node sees them: their entries, health and load.
 #[derive(Debug, Clone)]
 pub struct Fleet {
@@ -89,10 +99,14 @@
     entries: BTreeMap<UpstreamId, Entry>,
     drained: BTreeSet<DataCentreId>,
     peers: HashMap<u64, PeerLoads>,
+    short_ids: HashMap<u32, UpstreamId>,
+    cells: Cells,
+    /// The number of registered nodes; not all of them report to this one.
+    node_count: usize,
     /// The active requests of this node: the upstream, the cost, and whether prefill is done.
     in_flight: HashMap<u64, (UpstreamId, Cost, bool)>,
     next_work: u64,
-    pool_sizes: BTreeMap<ServiceId, place::PoolSizes>,
+    pool_sizes: BTreeMap<Cell, place::PoolSizes>,
 }
 
 impl Fleet {
@@ -104,6 +118,9 @@
             entries: BTreeMap::new(),
             drained: BTreeSet::new(),
             peers: HashMap::new(),
+            short_ids: HashMap::new(),
+            cells: Cells::default(),
+            node_count: 1,
             in_flight: HashMap::new(),
             next_work: 0,
             pool_sizes: BTreeMap::new(),
@@ -144,23 +161,48 @@
             entry.upstream = upstream;
             return;
         }
-        let entry = Entry {
+        let mut entry = Entry {
             rank: place::rank(&upstream.id),
             warm_at,
             expires_at: None,
             health: Health::default(),
             own_load: Load::default(),
+            peer_load: Load::default(),
+            pending_parts: BTreeMap::new(),
             backlog: Backlog::default(),
             recent_sends: Vec::new(),
             upstream,
         };
-        self.entries.insert(entry.upstream.id.clone(), entry);
+        self.sum_peer_loads(&mut entry);
+        let id = entry.upstream.id.clone();
+        self.short_ids
+            .insert(place::short_id(entry.rank), id.clone());
+        self.entries.insert(id, entry);
+        self.cells = Cells::new(self.entries.values());
+    }
+
+    fn remove(&mut self, id: &UpstreamId) {
+        if let Some(entry) = self.entries.remove(id) {
+            self.short_ids.remove(&place::short_id(entry.rank));
+            self.cells = Cells::new(self.entries.values());
+        }
+    }
+
+    /// Sets the number of registered nodes.
+    pub const fn on_node_count(&mut self, count: usize) {
+        self.node_count = count;
+    }
+
+    /// The number of nodes that may send requests to upstreams, as far as this node knows.
+    #[must_use]
+    pub fn node_count(&self, now: Time) -> usize {
+        self.node_count.max(self.live_nodes(now))
     }
 
     /// Removes an upstream, after a grace period if `outage` is set (see [`Self::on_list`]).
     pub fn on_removed(&mut self, id: &UpstreamId, outage: bool, now: Time) {
         if !outage {
-            self.entries.remove(id);
+            self.remove(id);
         } else if let Some(entry) = self.entries.get_mut(id) {
             entry.expires_at.get_or_insert(now + LAPSE_GRACE);
         }
@@ -175,7 +217,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
-            self.entries.remove(id);
+            self.remove(id);
         }
         expired
     }
@@ -191,51 +233,35 @@
         &self.drained
     }
 
-    /// Applies a peer's load report: all of its loads if `whole` is set, else those that changed.
-    pub fn on_loads(&mut self, peer: u64, loads: HashMap<u32, Load>, whole: bool, now: Time) {
-        let previous = self.peers.get(&peer);
-        for entry in self.entries.values_mut() {
-            let short_id = place::short_id(entry.rank);
-            let Some(load) = loads.get(&short_id) else {
-                continue;
-            };
-            // A new peer has only its pending prefill in the backlog; the rest of its total is done.
-            let known = previous
-                .and_then(|report| report.loads.get(&short_id).copied())
-                .unwrap_or(Load {
-                    total_prefill_ms: load
-                        .total_prefill_ms
-                        .saturating_sub(load.pending_prefill_ms),
-                    ..Load::default()
-                });
-            entry.backlog.add(
-                load.total_prefill_ms.saturating_sub(known.total_prefill_ms),
-                now,
-            );
-            let succeeded = load.succeeded.saturating_sub(known.succeeded);
-            let failed = load.failed.saturating_sub(known.failed);
-            entry.health.on_outcomes(succeeded, failed, now);
-        }
-        let report = self.peers.entry(peer).or_insert_with(|| PeerLoads {
-            received_at: now,
-            loads: HashMap::new(),
-        });
-        report.received_at = now;
-        if whole {
-            report.loads = loads;
-        } else {
-            report.loads.extend(loads);
-        }
-        self.peers
-            .retain(|_, report| now.since(report.received_at) < PEER_LOAD_TTL);
+    /// This node's own loads on the upstreams of a cell for its reports, by the upstreams' short ids.
+    #[must_use]
+    pub fn loads_in(&self, cell: &Cell) -> HashMap<u32, Load> {
+        self.own_loads(|entry| self.cell(entry) == *cell)
     }
 
-    /// This node's own loads for its report to peers, by the upstreams' short ids.
+    /// This node's own loads on all upstreams, by their short ids.
     #[must_use]
     pub fn loads(&self) -> HashMap<u32, Load> {
+        self.own_loads(|_| true)
+    }
+
+    /// The cells with upstreams that this node has used.
+    #[must_use]
+    pub fn used_cells(&self) -> BTreeSet<Cell> {
         self.entries
             .values()
             .filter(|entry| entry.own_load.is_used())
+            .map(|entry| self.cell(entry))
+            .collect()
+    }
+
+    fn own_loads<F>(&self, include: F) -> HashMap<u32, Load>
+    where
+        F: Fn(&Entry) -> bool,
+    {
+        self.entries
+            .values()
+            .filter(|entry| entry.own_load.is_used() && include(entry))
             .map(|entry| (place::short_id(entry.rank), self.own_load(entry)))
             .collect()
     }
@@ -256,13 +282,6 @@
         }
     }
 
-    /// The number of nodes that reported recently, including this one.
-    #[must_use]
-    pub fn live_nodes(&self, now: Time) -> usize {
-        let is_live = |report: &&PeerLoads| now.since(report.received_at) < PEER_LOAD_TTL;
-        1 + self.peers.values().filter(is_live).count()
-    }
-
     /// The number of upstreams.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -281,6 +300,28 @@
         self.entries.get(id).map(|entry| &entry.upstream)
     }
 
+    /// The id of an upstream in messages between nodes.
+    #[must_use]
+    pub fn short_id(id: &UpstreamId) -> u32 {
+        place::short_id(place::rank(id))
+    }
+
+    /// The upstream with this id in messages between nodes.
+    #[must_use]
+    pub fn find_by_short_id(&self, short_id: u32) -> Option<&UpstreamId> {
+        self.short_ids.get(&short_id)
+    }
+
+    /// Upstreams that this node cannot reach at present, or that fail its requests.
+    #[must_use]
+    pub fn unhealthy(&self, now: Time) -> Vec<u32> {
+        self.entries
+            .values()
+            .filter(|entry| !entry.health.is_healthy(now))
+            .map(|entry| place::short_id(entry.rank))
+            .collect()
+    }
+
     /// The id of the upstream that listens on an address.
     #[must_use]
     pub fn find_by_address(&self, address: std::net::SocketAddr) -> Option<&UpstreamId> {
@@ -305,8 +346,7 @@
         if let Some(entry) = self.entries.get_mut(id) {
             entry.own_load.add(&cost);
             entry.backlog.add(cost.prefill_time.as_millis() as u64, now);
-            entry.recent_sends.retain(|at| now.since(*at) < COLD_WINDOW);
-            entry.recent_sends.push(now);
+            entry.on_send(now);
         }
         self.in_flight.insert(work.get(), (id.clone(), cost, false));
         work
@@ -356,36 +396,42 @@
         !entry.upstream.leaving && !self.drained.contains(&entry.upstream.data_centre)
     }
 
-    /// The load of an upstream, summed over this node and the last reports of its peers.
+    /// The load of an upstream, summed over this node and what it knows of its peers.
     fn total_load(&self, entry: &Entry, now: Time) -> Load {
-        let short_id = place::short_id(entry.rank);
         let mut load = self.own_load(entry);
-        for report in self.peers.values() {
-            if now.since(report.received_at) < PEER_LOAD_TTL
-                && let Some(peer_load) = report.loads.get(&short_id)
-            {
-                load.merge(peer_load);
-            }
-        }
+        load.merge(&Load {
+            min_pending_prefill_ms: entry.pending_parts.values().min().copied().unwrap_or(0),
+            ..entry.peer_load
+        });
         load.pending_prefill_ms = load.pending_prefill_ms.min(entry.backlog.remaining(now));
         load
     }
 
-    /// Whether a cold upstream may get one more request from this node.
+    /// Whether a cold upstream may get one more request.
     ///
-    /// Each node takes an even share of the rate that a cold upstream can
-    /// handle, so the total stays below it without coordination.
-    fn has_cold_capacity(&self, entry: &Entry, cold_rate: Option<Rate>, now: Time) -> bool {
+    /// A node that places for the others takes a part of the rate that a cold
+    /// upstream can handle, which leaves room for a second one that does so at
+    /// the same time. A node that places for itself alone takes an even share,
+    /// which is nothing if there are more nodes than requests per second.
+    fn has_cold_capacity(
+        &self,
+        entry: &Entry,
+        cold_rate: Option<Rate>,
+        authority: Authority,
+        now: Time,
+    ) -> bool {
         let Some(rate) = cold_rate.filter(|_| now < entry.warm_at) else {
             return true;
         };
-        let nodes = self.live_nodes(now).max(MIN_ASSUMED_NODES) as f64;
-        let share = (rate.get() / nodes).floor().max(1.0);
+        let share = match authority {
+            Authority::Shared => (rate.get() * SHARED_COLD_FRACTION).max(1.0),
+            Authority::Own => rate.get() / self.node_count(now).max(MIN_ASSUMED_NODES) as f64,
+        };
         let recent = entry
             .recent_sends
             .iter()
             .filter(|at| now.since(**at) < COLD_WINDOW)
             .count();
-        (recent as f64) < share
+        (recent as f64) < share.floor()
     }
 }
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -16,16 +16,16 @@
 use rand::{Rng, RngExt};
 
 pub(super) use self::sizing::PoolSizes;
-pub use self::types::{Basis, Demand, Overload, Placement, Policy};
+pub use self::types::{Authority, Basis, Demand, Overload, Placement, Policy};
 
 use self::long::LongPlacement;
-use super::{Cost, Entry, Fleet, Load, WorkKind};
+use super::{Cell, Cost, Entry, Fleet, Load, WorkKind};
 use crate::directory::Service;
 use crate::engine::EngineProfile;
-use crate::id::{ServiceId, UpstreamId};
+use crate::id::UpstreamId;
 use crate::rendezvous::Salt;
 use crate::time::Time;
-use crate::units::{Rate, Tokens};
+use crate::units::Tokens;
 
 const SALT: Salt = Salt::new(0x666c_6565_7421);
 
@@ -90,12 +90,16 @@
     where
         R: Rng,
     {
-        let mut pool_sizes = self.pool_sizes.remove(&service.name).unwrap_or_default();
+        self.expire_peers(now);
+        let cell = Cell {
+            service: service.name.clone(),
+            data_centre: demand.within.clone(),
+        };
+        let mut pool_sizes = self.pool_sizes.remove(&cell).unwrap_or_default();
         let placed = match &service.engine {
             None => self.place_plain(service, demand, policy, now, rng),
             Some(profile) => {
-                let candidates =
-                    self.candidates(&service.name, service.cold_rate, &demand.avoid, now);
+                let candidates = self.candidates(service, demand, now);
                 place_prompt(
                     candidates,
                     profile,
@@ -107,24 +111,27 @@
                 )
             }
         };
-        self.pool_sizes.insert(service.name.clone(), pool_sizes);
+        self.pool_sizes.insert(cell, pool_sizes);
         placed
     }
 
-    fn candidates(
-        &self,
-        service: &ServiceId,
-        cold_rate: Option<Rate>,
-        avoid: &[UpstreamId],
-        now: Time,
-    ) -> Vec<Candidate<'_>> {
+    fn candidates(&self, service: &Service, demand: &Demand, now: Time) -> Vec<Candidate<'_>> {
+        let is_within = |entry: &Entry| {
+            demand
+                .within
+                .as_ref()
+                .is_none_or(|within| entry.upstream.data_centre == *within)
+        };
         let usable: Vec<_> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.upstream.service == *service && self.is_open(entry))
-            .filter(|(_, entry)| self.has_cold_capacity(entry, cold_rate, now))
+            .filter(|(_, entry)| entry.upstream.service == service.name && is_within(entry))
+            .filter(|(_, entry)| self.is_open(entry))
+            .filter(|(_, entry)| {
+                self.has_cold_capacity(entry, service.cold_rate, demand.authority, now)
+            })
             .collect();
-        let untried = |id: &UpstreamId| !avoid.contains(id);
+        let untried = |id: &UpstreamId| !demand.avoid.contains(id);
         let healthy = |entry: &Entry| entry.health.is_healthy(now);
         // Upstreams that back off, fail often or have failed this request are used only if there are no others.
         let best = usable
@@ -156,7 +163,7 @@
     where
         R: Rng,
     {
-        let candidates = self.candidates(&service.name, service.cold_rate, &demand.avoid, now);
+        let candidates = self.candidates(service, demand, now);
         let score = |candidate: &Candidate<'_>| {
             let slots = f64::from(candidate.entry.upstream.slots.max(1));
             let utilization = f64::from(candidate.load.active_requests()) / slots;
--- a/crates/catkinusher-core/src/fleet/place/types.rs
+++ b/crates/catkinusher-core/src/fleet/place/types.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::{Cost, Load};
-use crate::id::UpstreamId;
+use crate::id::{DataCentreId, UpstreamId};
 use crate::units::Tokens;
 
 /// The limits and thresholds of placement.
@@ -68,6 +68,16 @@
     }
 }
 
+/// For whom a node places requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Authority {
+    /// For itself alone, while other nodes do the same.
+    #[default]
+    Own,
+    /// For all nodes.
+    Shared,
+}
+
 /// The requirements of a request.
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
@@ -87,6 +97,10 @@
     pub time_left: Duration,
     /// The upstreams that have already failed it.
     pub avoid: Vec<UpstreamId>,
+    /// The data centre of the upstreams to choose from, if not all may be chosen.
+    pub within: Option<DataCentreId>,
+    /// For whom it is placed.
+    pub authority: Authority,
 }
 
 /// The upstreams chosen for a request.
@@ -118,7 +132,8 @@
 }
 
 /// Why a request cannot be placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Overload {
     /// There is no usable upstream.
     None,
--- /dev/null
+++ b/crates/catkinusher-core/src/placer/message.rs
@@ -0,0 +1,193 @@
+//! The messages between a node that has a request and the node that places it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::{Cell, Cost, Load, Overload};
+use crate::id::{DataCentreId, ServiceId};
+use crate::units::Tokens;
+
+/// A request to be placed, as its node describes it. Durations are in milliseconds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "AskRow", from = "AskRow")]
+pub struct Ask {
+    /// The number of the ask at its node; repeats of an ask have the same.
+    pub number: u64,
+    /// The cell whose upstreams may be chosen.
+    pub cell: Cell,
+    /// Whether another cell has passed it on already.
+    pub forwarded: bool,
+    /// The length of the prompt.
+    pub prompt: Tokens,
+    /// The maximum length of the answer.
+    pub answer: Tokens,
+    /// The latency objective.
+    pub objective: u64,
+    /// How long ago the caller first sent the request.
+    pub age: u64,
+    /// How long the caller waits for the first event.
+    pub patience: u64,
+    /// How long this attempt has waited at its node.
+    pub waited: u64,
+    /// How long is left until the answer must be complete.
+    pub left: u64,
+    /// The short ids of upstreams that have failed it or that its node cannot use.
+    pub avoid: Vec<u32>,
+}
+
+/// The fields of an [`Ask`] in order, without names, as asks are sent often.
+type AskRow = (
+    u64,
+    ServiceId,
+    Option<DataCentreId>,
+    bool,
+    (u64, u64),
+    (u64, u64, u64, u64, u64),
+    Vec<u32>,
+);
+
+impl From<Ask> for AskRow {
+    fn from(ask: Ask) -> Self {
+        (
+            ask.number,
+            ask.cell.service,
+            ask.cell.data_centre,
+            ask.forwarded,
+            (ask.prompt.get(), ask.answer.get()),
+            (ask.objective, ask.age, ask.patience, ask.waited, ask.left),
+            ask.avoid,
+        )
+    }
+}
+
+impl From<AskRow> for Ask {
+    fn from(
+        (
+            number,
+            service,
+            data_centre,
+            forwarded,
+            (prompt, answer),
+            (objective, age, patience, waited, left),
+            avoid,
+        ): AskRow,
+    ) -> Self {
+        Self {
+            number,
+            cell: Cell {
+                service,
+                data_centre,
+            },
+            forwarded,
+            prompt: Tokens::new(prompt),
+            answer: Tokens::new(answer),
+            objective,
+            age,
+            patience,
+            waited,
+            left,
+            avoid,
+        }
+    }
+}
+
+/// One upstream's part in a placed request: its short id and the cost there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "PartRow", from = "PartRow")]
+pub struct Part {
+    /// The short id of the upstream.
+    pub upstream: u32,
+    /// The cost there.
+    pub cost: Cost,
+}
+
+/// The fields of a [`Part`]: the upstream, the kind, prefill milliseconds, and tokens held.
+type PartRow = (u32, crate::fleet::WorkKind, u64, u64);
+
+impl From<Part> for PartRow {
+    fn from(part: Part) -> Self {
+        let Cost {
+            kind,
+            prefill_time,
+            held_tokens,
+        } = part.cost;
+        let prefill_ms = prefill_time.as_millis() as u64;
+        (part.upstream, kind, prefill_ms, held_tokens.get())
+    }
+}
+
+impl From<PartRow> for Part {
+    fn from((upstream, kind, prefill_ms, held_tokens): PartRow) -> Self {
+        let cost = Cost {
+            kind,
+            prefill_time: Duration::from_millis(prefill_ms),
+            held_tokens: Tokens::new(held_tokens),
+        };
+        Self { upstream, cost }
+    }
+}
+
+/// The upstreams on which a request was placed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Granted {
+    /// The number of the grant, which the node's next report covers.
+    #[serde(rename = "g")]
+    pub grant: u64,
+    /// The upstream that answers.
+    #[serde(rename = "p")]
+    pub primary: Part,
+    /// The upstreams that prefill parts of the prompt.
+    #[serde(rename = "h")]
+    pub helpers: Vec<Part>,
+    /// The number of upstreams that were considered, for logs.
+    #[serde(rename = "c")]
+    pub choices: u32,
+    /// The load of the primary before, for logs.
+    #[serde(rename = "l")]
+    pub load: Load,
+    /// The longest pending prefill among the chosen upstreams, in milliseconds.
+    #[serde(rename = "w")]
+    pub wait: u64,
+}
+
+/// The decision on an ask.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It is placed.
+    #[serde(rename = "g")]
+    Granted(Granted),
+    /// It waits for other prompts; the ask must be repeated now and then.
+    #[serde(rename = "w")]
+    Waiting,
+    /// It cannot be placed.
+    #[serde(rename = "o")]
+    Overloaded(Overload),
+    /// This node cannot place it, since it is leaving or does not know the service.
+    #[serde(rename = "u")]
+    Unable,
+}
+
+/// The answer to an [`Ask`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "AnswerRow", from = "AnswerRow")]
+pub struct Answer {
+    /// The number of the ask.
+    pub number: u64,
+    /// The decision.
+    pub verdict: Verdict,
+}
+
+type AnswerRow = (u64, Verdict);
+
+impl From<Answer> for AnswerRow {
+    fn from(answer: Answer) -> Self {
+        (answer.number, answer.verdict)
+    }
+}
+
+impl From<AnswerRow> for Answer {
+    fn from((number, verdict): AnswerRow) -> Self {
+        Self { number, verdict }
+    }
+}
--- /dev/null
+++ b/crates/catkinusher-core/src/roster/mod.rs
@@ -0,0 +1,264 @@
+//! The nodes of the fleet, and which of them carry shared duties.
+//!
+//! A few nodes read the store for all others, and a few place requests for all
+//! others. Every node ranks the known nodes in the same way, so duties need no
+//! election: the best-ranked nodes that answer carry them. Views may differ for
+//! a while, so no promise may rest on a duty having exactly one holder
+//! (see [docs/design/large.md](../../../../docs/design/large.md)).
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::DataCentreId;
+use crate::rendezvous::Salt;
+use crate::time::Time;
+
+const SALT: Salt = Salt::new(0x726f_7374_6572);
+
+/// The delay before a silent node is probed for the first time.
+const BASE_PROBE_DELAY: Duration = Duration::from_millis(500);
+
+/// The most doublings of the probe delay, which reaches four seconds.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// How long a node that answers again gets reports before it gets requests, so
+/// that it knows the load of the others when it places the first one.
+const PROBATION: Duration = Duration::from_millis(1500);
+
+/// The number of best-ranked nodes among which silent ones are probed.
+const PROBED_RANKS: usize = 8;
+
+/// A node as it registers itself in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The address for messages of other nodes.
+    pub address: SocketAddr,
+    /// The processor share in hundredths of a core; larger nodes carry duties first.
+    #[serde(default)]
+    pub capacity: u32,
+    /// The data centre of the node.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub data_centre: Option<DataCentreId>,
+}
+
+/// A duty of a few nodes for all others.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Duty {
+    /// The name that is hashed with the nodes' addresses.
+    pub name: String,
+    /// The data centre whose nodes carry the duty if any of them answers.
+    pub data_centre: Option<DataCentreId>,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    member: Member,
+    /// Unanswered messages since it was last heard.
+    silences: u32,
+    heard_at: Time,
+    probe_at: Time,
+    /// When it may carry duties, after it was silent.
+    eligible_at: Time,
+}
+
+impl Entry {
+    const fn new(member: Member, eligible_at: Time) -> Self {
+        Self {
+            member,
+            silences: 0,
+            heard_at: Time::ZERO,
+            probe_at: Time::ZERO,
+            eligible_at,
+        }
+    }
+}
+
+/// The known nodes with the results of recent contacts.
+///
+/// All times must come from a clock that advances while the machine is suspended.
+#[derive(Debug, Clone)]
+pub struct Roster {
+    own: Member,
+    entries: HashMap<SocketAddr, Entry>,
+    /// When this node itself may carry duties.
+    own_eligible: Time,
+    /// All nodes by rank for each duty, until the set of nodes changes.
+    ranks: RefCell<HashMap<Duty, Vec<SocketAddr>>>,
+}
+
+impl Roster {
+    /// Creates the roster of the node `own`, which has just started.
+    #[must_use]
+    pub fn new(own: Member, now: Time) -> Self {
+        Self {
+            own,
+            entries: HashMap::new(),
+            own_eligible: now + PROBATION,
+            ranks: RefCell::default(),
+        }
+    }
+
+    /// Replaces the registered nodes by a complete list.
+    ///
+    /// Nodes that are new in a known fleet begin with a probation.
+    pub fn on_list(&mut self, members: Vec<Member>, now: Time) {
+        let eligible_at = if self.entries.is_empty() {
+            Time::ZERO
+        } else {
+            now + PROBATION
+        };
+        let mut entries = HashMap::with_capacity(members.len());
+        for member in members {
+            if member.address == self.own.address {
+                continue;
+            }
+            let mut entry = self
+                .entries
+                .remove(&member.address)
+                .unwrap_or_else(|| Entry::new(member.clone(), eligible_at));
+            entry.member = member;
+            entries.insert(entry.member.address, entry);
+        }
+        self.entries = entries;
+        self.ranks.borrow_mut().clear();
+    }
+
+    /// The number of registered nodes, including this one.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len() + 1
+    }
+
+    /// Whether no other node is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The address of this node.
+    #[must_use]
+    pub const fn own(&self) -> SocketAddr {
+        self.own.address
+    }
+
+    /// Records a message from a node.
+    pub fn on_heard(&mut self, node: SocketAddr, now: Time) {
+        let Some(entry) = self.entries.get_mut(&node) else {
+            return;
+        };
+        entry.heard_at = now;
+        if entry.silences > 0 {
+            entry.silences = 0;
+            entry.eligible_at = now + PROBATION;
+        }
+    }
+
+    /// Records that a node did not answer a message that was sent at `sent_at`.
+    pub fn on_unanswered(&mut self, node: SocketAddr, sent_at: Time, now: Time) {
+        let heard = self.entries.get(&node).map(|entry| entry.heard_at);
+        if heard.is_some_and(|heard_at| heard_at <= sent_at) {
+            self.on_silent(node, now);
+        }
+    }
+
+    /// Records that a node does not answer, or that it is leaving.
+    pub fn on_silent(&mut self, node: SocketAddr, now: Time) {
+        if let Some(entry) = self.entries.get_mut(&node) {
+            let delay = BASE_PROBE_DELAY * (1 << entry.silences.min(MAX_DOUBLINGS));
+            entry.silences += 1;
+            entry.probe_at = now + delay;
+        }
+    }
+
+    /// Whether the node does not answer.
+    #[must_use]
+    pub fn is_silent(&self, node: SocketAddr) -> bool {
+        self.entries
+            .get(&node)
+            .is_some_and(|entry| entry.silences > 0)
+    }
+
+    /// The nodes that carry a duty now, at most `count`, best first.
+    #[must_use]
+    pub fn holders(&self, duty: &Duty, count: usize, now: Time) -> Vec<SocketAddr> {
+        let eligible = |node: SocketAddr| self.is_eligible(node, now);
+        let mut holders = self.best(duty, count, eligible);
+        if holders.is_empty() {
+            holders = self.best(duty, count, |node| !self.is_silent(node));
+        }
+        holders
+    }
+
+    /// The nodes that need to know what the holders of a duty know: the holders,
+    /// and nodes that will replace one of them as soon as their probation is over.
+    #[must_use]
+    pub fn informed(&self, duty: &Duty, count: usize, now: Time) -> Vec<SocketAddr> {
+        let mut informed = self.holders(duty, count, now);
+        for node in self.best(duty, count, |node| !self.is_silent(node)) {
+            if !informed.contains(&node) {
+                informed.push(node);
+            }
+        }
+        informed
+    }
+
+    /// A silent node that should be asked whether it is back, if one is due.
+    pub fn take_probe(&mut self, duty: &Duty, now: Time) -> Option<SocketAddr> {
+        let node = self
+            .best(duty, PROBED_RANKS, |_| true)
+            .into_iter()
+            .find(|node| {
+                self.entries
+                    .get(node)
+                    .is_some_and(|entry| entry.silences > 0 && now >= entry.probe_at)
+            })?;
+        self.on_silent(node, now);
+        Some(node)
+    }
+
+    fn is_eligible(&self, node: SocketAddr, now: Time) -> bool {
+        if node == self.own.address {
+            return now >= self.own_eligible;
+        }
+        self.entries
+            .get(&node)
+            .is_some_and(|entry| entry.silences == 0 && now >= entry.eligible_at)
+    }
+
+    fn best<F>(&self, duty: &Duty, count: usize, accept: F) -> Vec<SocketAddr>
+    where
+        F: Fn(SocketAddr) -> bool,
+    {
+        let mut ranks = self.ranks.borrow_mut();
+        if !ranks.contains_key(duty) {
+            ranks.insert(duty.clone(), self.rank(duty));
+        }
+        ranks
+            .get(duty)
+            .into_iter()
+            .flatten()
+            .copied()
+            .filter(|node| accept(*node))
+            .take(count)
+            .collect()
+    }
+
+    /// All nodes, those in the duty's data centre first, then by capacity, then by hash.
+    fn rank(&self, duty: &Duty) -> Vec<SocketAddr> {
+        let members = self.entries.values().map(|entry| &entry.member);
+        let mut ranked: Vec<_> = members
+            .chain([&self.own])
+            .map(|member| {
+                let remote = duty.data_centre.is_some() && member.data_centre != duty.data_centre;
+                let score = SALT.score(&duty.name, &member.address.to_string());
+                (remote, u32::MAX - member.capacity, score, member.address)
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, _, _, node)| node).collect()
+    }
+}
--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -7,6 +7,7 @@
     Action, ConfirmReply, Confirmer, ReplyOutcome, StorePosition, WatchProgress,
 };
 use catkinusher_core::object::Version;
+use catkinusher_core::roster::{Member, Roster};
 use catkinusher_core::time::Time;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,13 +18,14 @@
 /// A message in transit.
 enum Message {
     Query(usize, usize, u64),
-    Reply(usize, ConfirmReply),
+    Reply(usize, usize, ConfirmReply),
     /// A read of the store that began at this time and saw this revision, or failed.
     Read(usize, Time, Option<u64>),
 }
 
 struct Simulation {
     nodes: Vec<Confirmer>,
+    rosters: Vec<Roster>,
     known: Vec<u64>,
     in_transit: Vec<(u64, Message)>,
     /// The time at which each revision was written.
@@ -57,12 +59,26 @@
     format!("10.1.0.{}:7340", node + 1).parse().unwrap()
 }
 
+fn member(node: usize) -> Member {
+    Member {
+        address: address(node),
+        capacity: 12,
+        data_centre: None,
+    }
+}
+
+/// The roster of a node that knows all others from the store's list.
+fn roster(node: usize, count: usize) -> Roster {
+    let mut roster = Roster::new(member(node), Time::ZERO);
+    roster.on_list((0..count).map(member).collect(), Time::ZERO);
+    roster
+}
+
 impl Simulation {
     fn new(count: usize, seed: u64, network: Network) -> Self {
         Self {
-            nodes: (0..count)
-                .map(|node| Confirmer::new(address(node), INTERVAL))
-                .collect(),
+            nodes: (0..count).map(|_| Confirmer::new(INTERVAL)).collect(),
+            rosters: (0..count).map(|node| roster(node, count)).collect(),
             known: vec![0; count],
             in_transit: Vec::new(),
             written: vec![0],
@@ -85,22 +101,26 @@
         for (_, message) in due {
             match message {
                 Message::Query(to, from, number) if alive(to) => {
+                    self.rosters[to].on_heard(address(from), at);
                     let known = StorePosition {
                         revision: self.known[to],
                         ..StorePosition::default()
                     };
                     if let Some(reply) = self.nodes[to].reply(number, known, at) {
-                        self.send(now, Message::Reply(from, reply));
+                        self.send(now, Message::Reply(to, from, reply));
                     }
                 }
-                Message::Reply(to, reply) if alive(to) => {
+                Message::Reply(from, to, reply) if alive(to) => {
+                    self.rosters[to].on_heard(address(from), at);
                     let _outcome = self.nodes[to].on_reply(&reply, self.known[to]);
                 }
                 Message::Read(node, began, Some(revision)) if alive(node) => {
                     self.known[node] = self.known[node].max(revision);
                     self.nodes[node].on_read(began);
                 }
-                Message::Read(node, _, None) if alive(node) => self.nodes[node].on_failure(at),
+                Message::Read(node, _, None) if alive(node) => {
+                    self.nodes[node].on_failure(&self.rosters[node], at);
+                }
                 _ => {}
             }
         }
@@ -108,12 +128,7 @@
             if !alive(node) {
                 continue;
             }
-            if now.is_multiple_of(800) {
-                for other in 0..self.nodes.len() {
-                    self.nodes[other].on_peer_seen(address(node), at);
-                }
-            }
-            for action in self.nodes[node].poll(at) {
+            for action in self.nodes[node].poll(&mut self.rosters[node], at) {
                 match action {
                     Action::Read => {
                         self.reads += 1;
@@ -265,21 +280,20 @@
 
 #[test]
 fn a_peer_with_a_newer_revision_triggers_a_read_and_a_late_reply_is_ignored() {
-    let peer = address(1);
-    let mut node = Confirmer::new(address(0), INTERVAL);
+    let mut node = Confirmer::new(INTERVAL);
+    let mut roster = roster(0, 2);
     let ms = Time::from_millis;
-    node.on_peer_seen(peer, ms(0));
-    let query = |node: &mut Confirmer, now: u64| {
-        let actions = node.poll(ms(now));
+    let query = |node: &mut Confirmer, roster: &mut Roster, now: u64| {
+        let actions = node.poll(roster, ms(now));
         actions.into_iter().find_map(|action| match action {
             Action::Ask(_, number) => Some(number),
             Action::Read => None,
         })
     };
-    let first = query(&mut node, 0).unwrap();
+    let first = query(&mut node, &mut roster, 0).unwrap();
     node.on_read(ms(0));
-    node.on_peer_seen(peer, ms(1000));
-    let second = query(&mut node, 1000).unwrap();
+    roster.on_heard(address(1), ms(1000));
+    let second = query(&mut node, &mut roster, 1000).unwrap();
     node.on_read(ms(1000));
     let reply = |number, revision| ConfirmReply {
         number,
@@ -288,6 +302,7 @@
             revision,
             upstreams: Version::NONE,
             drained: Version::NONE,
+            nodes: Version::NONE,
         },
     };
     assert_eq!(
@@ -296,7 +311,7 @@
         "a reply to an earlier query"
     );
     assert_eq!(node.on_reply(&reply(second, 8), 7), ReplyOutcome::Behind);
-    assert!(node.poll(ms(1001)).contains(&Action::Read));
+    assert!(node.poll(&mut roster, ms(1001)).contains(&Action::Read));
     assert_eq!(
         node.freshness().age(ms(1001)),
         Some(Duration::from_millis(1))
--- a/crates/catkinusher-core/tests/engines/mod.rs
+++ b/crates/catkinusher-core/tests/engines/mod.rs
@@ -214,7 +214,7 @@
     for (peer, loads) in loads.into_iter().enumerate() {
         for (number, node) in nodes.iter_mut().enumerate() {
             if number != peer {
-                node.on_loads(peer as u64, loads.clone(), true, Time::from_millis(now));
+                node.on_loads(peer as u64, loads.clone(), true, 0, Time::from_millis(now));
             }
         }
     }
@@ -260,6 +260,7 @@
         waited,
         time_left: Duration::from_secs(15).saturating_sub(waited),
         avoid: Vec::new(),
+        ..Demand::default()
     };
     let node = &mut nodes[request.node];
     let time = Time::from_millis(now);
--- /dev/null
+++ b/crates/catkinusher-core/tests/feed.rs
@@ -0,0 +1,79 @@
+//! A node that gets changes from another one instead of the store misses none.
+
+use std::collections::BTreeMap;
+
+use catkinusher_core::feed::{Batch, Change, ChangeLog};
+use catkinusher_core::object::Version;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn change(version: u64, name: &str, value: Option<u64>) -> Change<u64> {
+    Change {
+        version: Version::new(version),
+        name: name.to_owned(),
+        value,
+        outage: false,
+    }
+}
+
+#[test]
+fn a_log_has_the_changes_since_its_list_only() {
+    let mut log = ChangeLog::default();
+    assert_eq!(log.since(Version::NONE), None);
+    log.on_list(Version::new(10));
+    log.on_changes(
+        Version::new(14),
+        [change(12, "a", Some(1)), change(14, "b", None)],
+    );
+    assert_eq!(log.since(Version::new(9)), None, "before the list");
+    assert_eq!(log.since(Version::new(14)), Some(Vec::new()));
+    let batches = log.since(Version::new(12)).unwrap();
+    assert_eq!(batches.len(), 1);
+    assert_eq!(batches[0].changes, [change(14, "b", None)]);
+    log.on_list(Version::new(20));
+    assert_eq!(log.since(Version::new(14)), None, "the list hides them");
+}
+
+#[test]
+fn a_follower_that_loses_messages_ends_with_the_same_objects() {
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (mut reader, mut follower) = (ChangeLog::default(), ChangeLog::default());
+        reader.on_list(Version::new(1));
+        follower.on_list(Version::new(1));
+        let (mut truth, mut copy) = (BTreeMap::new(), BTreeMap::new());
+        let mut version = 1;
+        for round in 0..200 {
+            let mut changes = Vec::new();
+            for _ in 0..rng.random_range(0..40) {
+                version += 1;
+                let name = format!("n{}", rng.random_range(0..30));
+                let value = rng.random_bool(0.7).then_some(version);
+                match value {
+                    Some(value) => truth.insert(name.clone(), value),
+                    None => truth.remove(&name),
+                };
+                changes.push(change(version, &name, value));
+            }
+            reader.on_changes(Version::new(version), changes);
+            let loss = if round == 199 { 0.0 } else { 0.4 };
+            for batch in reader.since(follower.upto()).unwrap() {
+                if !rng.random_bool(loss) && follower.continues(&batch) {
+                    apply(&mut follower, &mut copy, batch);
+                }
+            }
+        }
+        assert_eq!(copy, truth, "seed {seed}");
+    }
+}
+
+fn apply(log: &mut ChangeLog<u64>, objects: &mut BTreeMap<String, u64>, batch: Batch<u64>) {
+    assert!(batch.changes.len() < 64, "a batch fits into a datagram");
+    for change in &batch.changes {
+        match change.value {
+            Some(value) => objects.insert(change.name.clone(), value),
+            None => objects.remove(&change.name),
+        };
+    }
+    log.on_changes(batch.upto, batch.changes);
+}
--- a/crates/catkinusher-core/tests/fleet.rs
+++ b/crates/catkinusher-core/tests/fleet.rs
@@ -224,7 +224,7 @@
     for _ in 0..20 {
         start(&mut peer, &placed, ms(0));
     }
-    fleet.on_loads(1, peer.loads(), true, ms(1));
+    fleet.on_loads(1, peer.loads(), true, 0, ms(1));
     let other = place(&mut fleet, &short(), ms(2)).unwrap();
     assert_ne!(
         other.primary, placed.primary,
@@ -256,8 +256,8 @@
         all.loads().into_keys().collect()
     };
     let whole = HashMap::from([(ids[0], load(16)), (ids[1], load(16))]);
-    fleet.on_loads(1, whole, true, ms(0));
-    fleet.on_loads(1, HashMap::from([(ids[0], load(0))]), false, ms(1));
+    fleet.on_loads(1, whole, true, 0, ms(0));
+    fleet.on_loads(1, HashMap::from([(ids[0], load(0))]), false, 0, ms(1));
     for _ in 0..5 {
         let placed = place(&mut fleet, &short(), ms(2)).unwrap();
         assert_eq!(
--- a/crates/catkinusher-core/tests/regress_failing_at_once.rs
+++ b/crates/catkinusher-core/tests/regress_failing_at_once.rs
@@ -59,7 +59,7 @@
         let loads = fleet.loads();
         for (other, peer) in nodes.iter_mut().enumerate() {
             if other != node {
-                peer.on_loads(node as u64, loads.clone(), false, now);
+                peer.on_loads(node as u64, loads.clone(), false, 0, now);
             }
         }
     }
--- /dev/null
+++ b/crates/catkinusher-core/tests/roster.rs
@@ -0,0 +1,112 @@
+//! Duties of a few nodes: every node finds the same ones, and their successors.
+
+use std::net::SocketAddr;
+
+use catkinusher_core::roster::{Duty, Member, Roster};
+use catkinusher_core::time::Time;
+
+fn ms(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn address(node: usize) -> SocketAddr {
+    format!("10.1.{}.{}:7340", node / 200, node % 200 + 1)
+        .parse()
+        .unwrap()
+}
+
+fn member(node: usize) -> Member {
+    Member {
+        address: address(node),
+        // One node in twenty is large.
+        capacity: if node.is_multiple_of(20) { 50 } else { 12 },
+        data_centre: Some(["gent", "leuven"][node % 2].parse().unwrap()),
+    }
+}
+
+fn roster(own: usize, count: usize) -> Roster {
+    let mut roster = Roster::new(member(own), ms(0));
+    roster.on_list((0..count).map(member).collect(), ms(0));
+    roster
+}
+
+fn duty(name: &str, centre: Option<&str>) -> Duty {
+    Duty {
+        name: name.to_owned(),
+        data_centre: centre.map(|centre| centre.parse().unwrap()),
+    }
+}
+
+#[test]
+fn all_nodes_find_the_same_holders_and_large_ones_come_first() {
+    let duty = duty("place", Some("gent"));
+    let expected = roster(1, 300).holders(&duty, 2, ms(5000));
+    for own in [0, 2, 17, 299] {
+        assert_eq!(roster(own, 300).holders(&duty, 2, ms(5000)), expected);
+    }
+    for holder in expected {
+        let node = (0..300).find(|node| address(*node) == holder).unwrap();
+        assert_eq!(member(node).capacity, 50);
+        assert_eq!(member(node).data_centre, duty.data_centre);
+    }
+}
+
+#[test]
+fn a_silent_holder_is_replaced_and_comes_back_after_a_probation() {
+    let duty = duty("place", None);
+    let mut roster = roster(1, 30);
+    let first = roster.holders(&duty, 1, ms(5000))[0];
+    roster.on_silent(first, ms(5000));
+    let second = roster.holders(&duty, 1, ms(5000))[0];
+    assert_ne!(first, second);
+    assert_eq!(roster.take_probe(&duty, ms(5100)), None, "not at once");
+    assert_eq!(roster.take_probe(&duty, ms(5600)), Some(first));
+    assert_eq!(roster.take_probe(&duty, ms(5700)), None, "and more rarely");
+    roster.on_heard(first, ms(7000));
+    assert_eq!(roster.holders(&duty, 1, ms(7100)), [second]);
+    assert!(
+        roster.informed(&duty, 1, ms(7100)).contains(&first),
+        "it gets reports before it gets requests"
+    );
+    assert_eq!(roster.holders(&duty, 1, ms(9000)), [first]);
+}
+
+#[test]
+fn an_answer_after_the_message_shows_that_the_node_lives() {
+    let duty = duty("place", None);
+    let mut roster = roster(1, 30);
+    let first = roster.holders(&duty, 1, ms(5000))[0];
+    roster.on_heard(first, ms(6000));
+    roster.on_unanswered(first, ms(5900), ms(6100));
+    assert_eq!(roster.holders(&duty, 1, ms(6100)), [first]);
+    roster.on_unanswered(first, ms(6050), ms(6200));
+    assert_ne!(roster.holders(&duty, 1, ms(6200)), [first]);
+}
+
+#[test]
+fn a_node_that_joins_or_has_just_started_carries_no_duty_yet() {
+    let duty = duty("place", None);
+    let mut roster = roster(1, 30);
+    let before = roster.holders(&duty, 1, ms(5000));
+    let mut joiner = member(1000);
+    joiner.capacity = 100;
+    let members = (0..30).map(member).chain([joiner]).collect();
+    roster.on_list(members, ms(5000));
+    assert_eq!(roster.holders(&duty, 1, ms(5100)), before);
+    assert_eq!(roster.holders(&duty, 1, ms(7000)), [address(1000)]);
+    let mut own = member(0);
+    own.capacity = 100;
+    let mut started = Roster::new(own, ms(0));
+    started.on_list((1..30).map(member).collect(), ms(0));
+    assert_ne!(started.holders(&duty, 1, ms(100)), [address(0)]);
+    assert_eq!(started.holders(&duty, 1, ms(2000)), [address(0)]);
+}
+
+#[test]
+fn a_lone_node_carries_all_duties() {
+    let roster = Roster::new(member(0), ms(0));
+    assert_eq!(
+        roster.holders(&duty("place", None), 2, ms(10)),
+        [address(0)]
+    );
+}
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use catkinusher_core::directory::Repeat;
-use catkinusher_core::fleet::{Fault, Placement, WorkId};
+use catkinusher_core::fleet::{Cost, Fault, Placement, WorkId};
 use catkinusher_core::id::UpstreamId;
 use catkinusher_core::outcome::{Evidence, Refusal};
 use catkinusher_core::units::Span;
@@ -22,6 +22,7 @@
 use crate::forward::plain::headers::strip_hop_headers;
 use crate::gateway::dialect::{Dialect, Dispatch, FailedUpstream, Helper, ResponseClass};
 use crate::gateway::handle::Job;
+use crate::gateway::placing::Placed;
 use crate::gateway::pool::Connection;
 use crate::gateway::reserve::Reservation;
 use crate::gateway::state::State;
@@ -118,6 +119,28 @@
         }
     }
 
+    /// Counts the load of a request at all its upstreams.
+    pub(in crate::gateway) fn begin_work(
+        self: &Arc<Self>,
+        placement: &Placement,
+    ) -> AttemptResources<D> {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        let primary = (&placement.primary, placement.cost);
+        let helpers = placement.helpers.iter().map(|(id, cost)| (id, *cost));
+        let works = helpers
+            .chain([primary])
+            .map(|(id, cost): (&UpstreamId, Cost)| fleet.begin(id, cost, now))
+            .collect();
+        drop(fleet);
+        self.load_changed.notify_one();
+        AttemptResources {
+            state: Arc::clone(self),
+            works,
+            reservations: Vec::new(),
+        }
+    }
+
     /// Returns a connection to the pool once it is ready for another request.
     pub(in crate::gateway) fn return_to_pool(
         self: &Arc<Self>,
@@ -157,9 +180,12 @@
             if self.time_left() < MIN_ATTEMPT_TIME {
                 return Err(self.deadline_refusal());
             }
-            let (placement, address) = self.wait_for_placement().await?;
+            let Placed {
+                placement,
+                address,
+                resources,
+            } = self.wait_for_placement().await?;
             let upstream = placement.primary.clone();
-            let resources = self.begin_work(&placement);
             match self
                 .start_attempt(&placement, address, resources, resume)
                 .await
--- a/crates/catkinusherd/src/gateway/attempt/turn.rs
+++ b/crates/catkinusherd/src/gateway/attempt/turn.rs
@@ -1,17 +1,21 @@
 //! Placement of a request, and the load that it adds to upstreams.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::time::Duration;
 
-use catkinusher_core::fleet::{Cost, Demand, Overload, Placement};
-use catkinusher_core::id::UpstreamId;
+use catkinusher_core::fleet::{Authority, Cell, Demand, Fleet, Overload, Placement};
 use catkinusher_core::outcome::Refusal;
+use catkinusher_core::placer::Ask;
 use catkinusher_core::units::Span;
 use tracing::info;
 
-use super::{AttemptResources, NO_UPSTREAM_RETRY_AFTER};
+use super::NO_UPSTREAM_RETRY_AFTER;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::handle::Job;
+use crate::gateway::placing::{self, NotPlaced, Placed};
+
+/// The most unhealthy upstreams that an ask names.
+const MAX_AVOIDED: usize = 24;
 
 impl<D> Job<D>
 where
@@ -25,23 +29,74 @@
         })
     }
 
-    /// Waits until the request can be placed.
+    /// Waits until the request is placed, and counts its load.
     ///
     /// # Errors
     ///
     /// The refusal for the caller if no upstream can serve the request in time.
-    pub(super) async fn wait_for_placement(&self) -> Result<(Placement, SocketAddr), Refusal> {
-        loop {
-            let refused = match self.place() {
+    pub(super) async fn wait_for_placement(&self) -> Result<Placed<D>, Refusal> {
+        let cell = self
+            .state
+            .fleet()
+            .home_cell(&self.service, self.state.settings.node.as_str());
+        let waiting = placing::ask(&self.state, &cell, |number, unusable| {
+            self.describe(number, cell.clone(), unusable)
+        });
+        let answer = tokio::select! {
+            answer = waiting => answer,
+            () = self.state.timers.at(self.deadline) => return Err(self.deadline_refusal()),
+        };
+        let refused = match answer {
+            Ok(placed) => return Ok(placed),
+            Err(NotPlaced::Overloaded(refused)) => refused,
+            Err(NotPlaced::Unanswered) => match self.place_alone().await {
                 Ok(placed) => return Ok(placed),
-                Err(Overload::Queued(pause)) => {
-                    self.state.timers.after(pause).await;
-                    continue;
-                }
                 Err(refused) => refused,
-            };
-            self.log_overload(refused);
-            return Err(self.overload_refusal(refused));
+            },
+        };
+        self.log_overload(refused);
+        Err(self.overload_refusal(refused))
+    }
+
+    /// Places the request by what this node alone knows.
+    async fn place_alone(&self) -> Result<Placed<D>, Overload> {
+        loop {
+            match self.place() {
+                Ok((placement, address)) => {
+                    let resources = self.state.begin_work(&placement);
+                    return Ok(Placed {
+                        placement,
+                        address,
+                        resources,
+                    });
+                }
+                Err(Overload::Queued(pause)) => self.state.timers.after(pause).await,
+                Err(refused) => return Err(refused),
+            }
+        }
+    }
+
+    /// The ask for this request at the present moment.
+    fn describe(&self, number: u64, cell: Cell, unusable: &[u32]) -> Ask {
+        let now = self.state.now();
+        let waited = now.since(self.received);
+        let mut avoid = unusable.to_vec();
+        avoid.extend(self.avoid.iter().map(Fleet::short_id));
+        let unhealthy = self.state.fleet().unhealthy(now);
+        avoid.extend(unhealthy.into_iter().take(MAX_AVOIDED));
+        let millis = |time: Duration| time.as_millis() as u64;
+        Ask {
+            number,
+            cell,
+            forwarded: false,
+            prompt: self.ask.prompt,
+            answer: self.ask.answer,
+            objective: millis(self.route.objective),
+            age: millis(self.prior_wait + waited),
+            patience: millis(self.patience),
+            waited: millis(waited),
+            left: millis(self.time_left()),
+            avoid,
         }
     }
 
@@ -81,6 +136,8 @@
             waited: self.state.now().since(self.received),
             time_left: self.time_left(),
             avoid: self.avoid.clone(),
+            within: None,
+            authority: Authority::Own,
         };
         let now = self.state.now();
         let policy = &self.state.settings.placing;
@@ -92,30 +149,10 @@
         Ok((placement, first))
     }
 
-    pub(super) fn begin_work(&self, placement: &Placement) -> AttemptResources<D> {
-        let now = self.state.now();
-        let mut fleet = self.state.fleet();
-        let first = (&placement.primary, placement.cost);
-        let works = placement
-            .helpers
-            .iter()
-            .map(|(id, cost)| (id, *cost))
-            .chain([first])
-            .map(|(id, cost): (&UpstreamId, Cost)| fleet.begin(id, cost, now))
-            .collect();
-        drop(fleet);
-        self.state.load_changed.notify_one();
-        AttemptResources {
-            state: Arc::clone(&self.state),
-            works,
-            reservations: Vec::new(),
-        }
-    }
-
     /// Logs the overload that a request was refused for.
     fn log_overload(&self, overload: Overload) {
         let fleet = self.state.fleet();
-        let (upstreams, nodes) = (fleet.len(), fleet.live_nodes(self.state.now()));
+        let (upstreams, nodes) = (fleet.len(), self.state.roster().len());
         drop(fleet);
         info!(
             event = "overload",
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -4,6 +4,7 @@
 //! module carries out the reads and queries.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use catkinusher_core::confirm::{Action, ConfirmReply, Confirmer, ReplyOutcome};
 use catkinusher_platform::{Priority, Store};
@@ -13,7 +14,7 @@
 
 use super::clock;
 use super::dialect::{Dialect, StoreSchema};
-use super::peers::{self, Message};
+use super::peers::{self, Feed, Message};
 use super::state::State;
 use super::watch;
 
@@ -41,7 +42,11 @@
     S: StoreSchema,
 {
     loop {
-        let actions = state.confirmer().poll(clock::boot_time());
+        let actions = {
+            let mut confirmer = state.confirmer();
+            let mut roster = state.roster();
+            confirmer.poll(&mut roster, clock::boot_time())
+        };
         for action in actions {
             match action {
                 Action::Read => {
@@ -50,7 +55,8 @@
                     tokio::spawn(async move { read(&state, &store, &schema).await });
                 }
                 Action::Ask(peer, number) => {
-                    peers::send(&socket, &Message::ConfirmQuery(number), peer);
+                    let seen = Feed::ALL.map(|feed| state.feeds.upto(feed));
+                    peers::send(&socket, &Message::ConfirmQuery(number, seen), peer);
                 }
             }
         }
@@ -82,7 +88,9 @@
                 on_confirmed(state, |confirmer| confirmer.on_read(began));
             } else {
                 state.metrics.on_call("confirm", "bad");
-                state.confirmer().on_failure(clock::boot_time());
+                let mut confirmer = state.confirmer();
+                let roster = state.roster();
+                confirmer.on_failure(&roster, clock::boot_time());
             }
         }
         Err(error) => {
@@ -91,7 +99,7 @@
             if !confirmer.is_overdue(now) {
                 warn!(event = "store", kind, outcome = "unconfirmed", %error);
             }
-            confirmer.on_failure(now);
+            confirmer.on_failure(&state.roster(), now);
             drop(confirmer);
             state.metrics.on_call("confirm", "failed");
         }
@@ -122,13 +130,15 @@
     let mut view = state.view();
     let upstreams = view.upstreams.on_peer_version(reply.known.upstreams);
     let drained = view.drained.on_peer_version(reply.known.drained);
+    let nodes = view.nodes.on_peer_version(reply.known.nodes);
     drop(view);
     for (is_behind, kind, notifier) in [
         (upstreams, "upstreams", &state.notifiers.upstreams),
         (drained, "drained", &state.notifiers.drained),
+        (nodes, "nodes", &state.notifiers.nodes),
     ] {
         if is_behind {
-            info!(event = "store", kind, outcome = "behind");
+            debug!("store: a peer knows newer {kind}");
             notifier.notify_one();
         }
     }
@@ -148,6 +158,7 @@
     drop(confirmer);
     if regained {
         info!(event = "store", outcome = "confirmed");
+        state.regained.fetch_add(1, Ordering::Relaxed);
         state.notifiers.notify_watches();
     }
     done
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! the alternatives considered.
 
 pub mod dialect;
+mod feeds;
 pub mod settings;
 
 mod answer;
@@ -20,6 +21,7 @@
 mod handle;
 mod metrics;
 mod peers;
+mod placing;
 mod pool;
 mod relay;
 mod reserve;
--- /dev/null
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -0,0 +1,193 @@
+//! Messages between nodes: load reports, placement, and store positions.
+//!
+//! All messages are UDP datagrams. A stalled connection would hold back reports
+//! just when they matter, whereas the next datagram makes up for a lost one.
+
+mod message;
+mod reports;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use catkinusher_core::fleet::Cell;
+use catkinusher_core::roster::Member;
+use catkinusher_platform::{Error, Priority, Store};
+use tokio::net::UdpSocket;
+use tracing::{debug, info, warn};
+
+pub(super) use self::message::{Feed, Message, Question, send};
+
+use super::dialect::{Dialect, StoreSchema};
+use super::state::State;
+use super::{clock, confirm, placing};
+
+/// How often expired idle connections are closed.
+const EVICT_PERIOD: Duration = Duration::from_secs(20);
+
+/// The pause after a failed call to register, and the timeout for unregistering.
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+
+/// The pause after a failed attempt to receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(12);
+
+/// Starts the tasks that register this node, send reports and receive messages.
+///
+/// # Errors
+///
+/// If the socket cannot be bound.
+pub(super) async fn start<D, S>(
+    state: &Arc<State<D>>,
+    store: &Store<S::Form>,
+    _schema: &S,
+) -> anyhow::Result<Arc<UdpSocket>>
+where
+    D: Dialect,
+    S: StoreSchema,
+{
+    let address = state.settings.peers;
+    let socket = UdpSocket::bind(address)
+        .await
+        .with_context(|| format!("cannot listen for peers on {address}"))?;
+    let socket = Arc::new(socket);
+    state.set_socket(Arc::clone(&socket));
+    tokio::spawn(register::<D, S>(
+        Arc::clone(state),
+        store.at(Priority::Status),
+    ));
+    tokio::spawn(reports::send_reports(
+        Arc::clone(state),
+        Arc::clone(&socket),
+    ));
+    tokio::spawn(receive_messages(Arc::clone(state), Arc::clone(&socket)));
+    placing::start(state, &socket);
+    Ok(socket)
+}
+
+/// Removes this node's registration.
+pub(super) async fn unregister<D, S>(state: &Arc<State<D>>, store: &Store<S::Form>, _schema: &S)
+where
+    D: Dialect,
+    S: StoreSchema,
+{
+    let name = state.settings.node.as_str();
+    let store = store.at(Priority::Status);
+    let removed = store.delete(S::NODES, name, None);
+    match tokio::time::timeout(RETRY_PAUSE, removed).await {
+        Ok(Ok(_there)) => {}
+        Ok(Err(error)) => warn!(event = "peers", outcome = "not-removed", %error),
+        Err(_elapsed) => warn!(
+            event = "peers",
+            outcome = "not-removed",
+            error = "no answer"
+        ),
+    }
+}
+
+async fn register<D, S>(state: Arc<State<D>>, store: Store<S::Form>)
+where
+    D: Dialect,
+    S: StoreSchema,
+{
+    let own = state.settings.member();
+    let name = state.settings.node.as_str().to_owned();
+    loop {
+        match write_registration::<S>(&store, &name, &own).await {
+            Ok(()) => break,
+            Err(error) => {
+                debug!("peers: cannot register this node: {error}");
+                state.timers.after(RETRY_PAUSE).await;
+            }
+        }
+    }
+    info!(event = "peers", outcome = "registered");
+    loop {
+        state.timers.after(EVICT_PERIOD).await;
+        state.pool.evict_expired(state.now());
+    }
+}
+
+/// Creates the registration, or replaces the one of an earlier process on this VM.
+async fn write_registration<S>(
+    store: &Store<S::Form>,
+    name: &str,
+    own: &Member,
+) -> Result<(), Error>
+where
+    S: StoreSchema,
+{
+    match store.create(S::NODES, name, own).await {
+        Err(Error::Conflict { standing }) => {
+            let _version = store.update(S::NODES, name, own, standing).await?;
+            Ok(())
+        }
+        created => created.map(|_version| ()),
+    }
+}
+
+async fn receive_messages<D>(state: Arc<State<D>>, socket: Arc<UdpSocket>)
+where
+    D: Dialect,
+{
+    let mut bytes = vec![0; message::MAX_MESSAGE_BYTES];
+    let mut latest = HashMap::<u64, (u32, u64)>::new();
+    loop {
+        let (length, from) = match socket.recv_from(&mut bytes).await {
+            Ok(received) => received,
+            Err(error) => {
+                debug!("peers: cannot receive: {error}");
+                state.timers.after(RECEIVE_PAUSE).await;
+                continue;
+            }
+        };
+        state.roster().on_heard(from, clock::boot_time());
+        match ciborium::from_reader(&bytes[..length]) {
+            Ok(Message::Report(report)) => on_report(&state, report, &mut latest),
+            Ok(Message::ConfirmQuery(number, seen)) => {
+                if let Some(reply) = confirm::reply_to_peer(&state, number) {
+                    send(&socket, &Message::ConfirmReply(reply), from);
+                }
+                for (feed, seen) in Feed::ALL.into_iter().zip(seen) {
+                    for batch in state.feeds.since(feed, seen) {
+                        send(&socket, &Message::Changes(feed, batch), from);
+                    }
+                }
+            }
+            Ok(Message::Changes(feed, batch)) => state.feeds.deliver(feed, batch),
+            Ok(Message::ConfirmReply(reply)) => confirm::on_peer_reply(&state, &reply),
+            Ok(Message::Ask(question)) => placing::on_question(&state, &socket, question, from),
+            Ok(Message::Answer(answer)) => placing::deliver(&state, Some(from), answer),
+            Ok(Message::Pressure(service, data_centre, pressure)) => {
+                let cell = Cell {
+                    service,
+                    data_centre: Some(data_centre),
+                };
+                let now = state.now();
+                state.placer().on_pressure(cell, pressure, now);
+            }
+            Err(error) => {
+                debug!("peers: cannot decode a message from {from}: {error}");
+                state.metrics.on_call("peer", "bad-message");
+            }
+        }
+    }
+}
+
+fn on_report<D>(state: &State<D>, report: message::Report, latest: &mut HashMap<u64, (u32, u64)>) {
+    let now = state.now();
+    let seen = latest.entry(report.node).or_default();
+    // Datagrams may arrive out of order; a restarted node has a new incarnation and counts from the start.
+    if seen.0 == report.incarnation {
+        if seen.1 >= report.sequence {
+            return;
+        }
+    } else if seen.1 > 0 {
+        state.fleet().forget_peer(report.node);
+    }
+    *seen = (report.incarnation, report.sequence);
+    let loads = report.loads.into_iter().collect();
+    state
+        .fleet()
+        .on_loads(report.node, loads, report.is_full, report.granted, now);
+}
--- a/crates/catkinusherd/src/gateway/settings.rs
+++ b/crates/catkinusherd/src/gateway/settings.rs
@@ -6,6 +6,7 @@
 use catkinusher_core::fleet::Policy as Placing;
 use catkinusher_core::id::{DataCentreId, VmId};
 use catkinusher_core::retry::Policy as Retries;
+use catkinusher_core::roster::Member;
 
 /// The settings of one gateway.
 #[derive(Debug, Clone, PartialEq)]
@@ -20,8 +21,10 @@
     pub ready: SocketAddr,
     /// An additional address that serves metrics; `ready` serves them too.
     pub metrics: Option<SocketAddr>,
-    /// The address on which peers send load reports and confirmation messages.
+    /// The address on which peers send their messages.
     pub peers: SocketAddr,
+    /// The processor share of this VM in hundredths of a core; larger VMs carry shared duties first.
+    pub capacity: u32,
     /// How long keys may be accepted without a confirmation that the configuration is current.
     pub trust: Duration,
     /// The largest age of the confirmation of the configuration in normal operation.
@@ -33,3 +36,14 @@
     /// The placement policy.
     pub placing: Placing,
 }
+
+impl Settings {
+    /// This node as it registers itself.
+    pub(super) fn member(&self) -> Member {
+        Member {
+            address: self.peers,
+            capacity: self.capacity,
+            data_centre: Some(self.data_centre.clone()),
+        }
+    }
+}
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -2,24 +2,32 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use catkinusher_core::confirm::{Confirmer, StorePosition, WatchProgress};
 use catkinusher_core::directory::Directory;
 use catkinusher_core::fleet::{Fleet, MIN_ASSUMED_NODES};
 use catkinusher_core::id::ServiceId;
+use catkinusher_core::placer::{Asker, Placer};
+use catkinusher_core::rendezvous::Salt;
 use catkinusher_core::retry::{self, Budget};
+use catkinusher_core::roster::Roster;
 use catkinusher_core::time::Time;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use super::clock;
+use super::feeds::Feeds;
 use super::metrics::{GaugeValues, Metrics};
+use super::placing::Asks;
 use super::pool::Pool;
 use super::settings::Settings;
 use crate::timer::{Clock, Timers};
 
+const SALT: Salt = Salt::new(0x7065_6572);
+
 /// How overdue a confirmation of the configuration may be before this node
 /// reports itself unready.
 ///
@@ -34,6 +42,7 @@
     pub(super) upstreams_listed: bool,
     pub(super) upstreams: WatchProgress,
     pub(super) drained: WatchProgress,
+    pub(super) nodes: WatchProgress,
 }
 
 impl StoreView {
@@ -43,6 +52,7 @@
             revision: self.directory.as_ref().map_or(0, |one| one.revision()),
             upstreams: self.upstreams.newest(),
             drained: self.drained.newest(),
+            nodes: self.nodes.newest(),
         }
     }
 }
@@ -54,6 +64,9 @@
     pub(super) configuration: Notify,
     pub(super) upstreams: Notify,
     pub(super) drained: Notify,
+    pub(super) nodes: Notify,
+    /// Asks are waiting at this node.
+    pub(super) placing: Notify,
 }
 
 impl Notifiers {
@@ -62,6 +75,7 @@
         self.configuration.notify_one();
         self.upstreams.notify_one();
         self.drained.notify_one();
+        self.nodes.notify_one();
     }
 }
 
@@ -78,6 +92,17 @@
     /// Notified when the load that this node causes has changed.
     pub(super) load_changed: Notify,
     pub(super) notifiers: Notifiers,
+    /// The number of this node in its reports.
+    pub(super) node_number: u64,
+    /// Differs between successive processes of this node.
+    pub(super) incarnation: u32,
+    pub(super) asks: Asks<D>,
+    pub(super) feeds: Feeds,
+    /// How often the store was confirmed again after an outage.
+    pub(super) regained: AtomicU64,
+    socket: OnceLock<Arc<UdpSocket>>,
+    roster: Mutex<Roster>,
+    placer: Mutex<Placer>,
     confirmer: Mutex<Confirmer>,
     view: Mutex<StoreView>,
     fleet: Mutex<Fleet>,
@@ -90,8 +115,17 @@
 impl<D> State<D> {
     pub(super) fn new(settings: Settings, dialect: D) -> Self {
         let fleet = Fleet::new(settings.data_centre.clone());
-        let confirmer = Confirmer::new(settings.peers, settings.rhythm);
+        let confirmer = Confirmer::new(settings.rhythm);
+        let roster = Roster::new(settings.member(), clock::boot_time());
         Self {
+            node_number: SALT.score("node", settings.node.as_str()),
+            incarnation: rand::random(),
+            asks: Asks::default(),
+            feeds: Feeds::default(),
+            regained: AtomicU64::new(0),
+            socket: OnceLock::new(),
+            roster: Mutex::new(roster),
+            placer: Mutex::default(),
             settings,
             dialect,
             timers: Timers::start(Clock::start()),
@@ -118,6 +152,40 @@
         lock(&self.fleet)
     }
 
+    pub(super) fn roster(&self) -> MutexGuard<'_, Roster> {
+        lock(&self.roster)
+    }
+
+    pub(super) fn placer(&self) -> MutexGuard<'_, Placer> {
+        lock(&self.placer)
+    }
+
+    /// This node as one that asks itself.
+    pub(super) const fn asker(&self) -> Asker {
+        Asker {
+            peer: None,
+            address: self.settings.peers,
+        }
+    }
+
+    /// The socket for messages to peers, once it is open.
+    pub(super) fn socket(&self) -> Option<&UdpSocket> {
+        self.socket.get().map(|socket| &**socket)
+    }
+
+    pub(super) fn set_socket(&self, socket: Arc<UdpSocket>) {
+        // A node opens one socket in its life.
+        let _first = self.socket.set(socket);
+    }
+
+    /// Whether this node reads the store for others.
+    pub(super) fn is_reader(&self) -> bool {
+        let now = clock::boot_time();
+        let confirmer = self.confirmer();
+        let roster = self.roster();
+        confirmer.is_reader(&roster, now)
+    }
+
     pub(super) fn confirmer(&self) -> MutexGuard<'_, Confirmer> {
         lock(&self.confirmer)
     }
@@ -135,7 +203,7 @@
     where
         F: FnOnce(&retry::Policy, &mut Budget) -> T,
     {
-        let nodes = self.fleet().live_nodes(self.now()).max(MIN_ASSUMED_NODES) as f64;
+        let nodes = self.roster().len().max(MIN_ASSUMED_NODES) as f64;
         let policy = retry::Policy {
             burst: (self.settings.retries.burst / nodes).max(1.0),
             ..self.settings.retries.clone()
@@ -188,7 +256,7 @@
             revision,
             confirmed_age,
             upstreams: fleet.len(),
-            nodes: fleet.live_nodes(self.now()),
+            nodes: self.roster().len(),
             open_requests: self.open_requests(),
         };
         drop(fleet);
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -1,18 +1,24 @@
 //! Watches of the store: configuration, upstreams and drained data centres.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::marker::PhantomData;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use catkinusher_core::feed::Change;
 use catkinusher_core::freshness::StoreOutage;
 use catkinusher_core::id::{DataCentreId, UpstreamId};
+use catkinusher_core::roster::Member;
 use catkinusher_platform::{Error, Event, Object, Store, Version};
 use serde_json::Value;
 use tokio::sync::Notify;
 use tracing::{info, warn};
 
+use super::clock;
 use super::dialect::{Dialect, StoreSchema};
+use super::feeds::Feeds;
+use super::peers::Feed;
 use super::state::State;
 
 /// How long one call waits for changes, within the store's limit. If a stalled
@@ -23,6 +29,9 @@
 /// a call; far below the limits within which changes must take effect.
 const COALESCE_DELAY: Duration = Duration::from_millis(400);
 
+/// How often a node that does not watch the store checks whether it has become a reader.
+const ROLE_PERIOD: Duration = Duration::from_secs(1);
+
 /// The timeout of a call that only catches up, the shortest that the store accepts.
 const MIN_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 
@@ -34,6 +43,9 @@
 
 /// Handles the changes of one kind of object.
 trait WatchHandler: Send + 'static {
+    /// The feed through which readers pass on the changes, if any.
+    const FEED: Option<Feed>;
+
     /// The kind of the objects.
     fn kind(&self) -> &'static str;
 
@@ -75,6 +87,16 @@
         store.clone(),
         upstreams,
     ));
+    let nodes = NodeHandler::<D, S> {
+        state: Arc::clone(state),
+        members: BTreeMap::new(),
+        schema: PhantomData,
+    };
+    tokio::spawn(run_watch::<D, S, _>(
+        Arc::clone(state),
+        store.clone(),
+        nodes,
+    ));
     let drained = DrainHandler::<D, S> {
         state: Arc::clone(state),
         data_centres: BTreeSet::new(),
@@ -95,9 +117,24 @@
 {
     let mut version = None;
     let mut store_outage = StoreOutage::default();
+    let mut regained = 0;
     loop {
-        let outcome = poll_store(&store, &mut handler, version, store_outage.is_ongoing()).await;
-        match outcome {
+        let mut catch_up = false;
+        if version.is_some() && !store_outage.is_ongoing() && !state.is_reader() {
+            match follow(&state, &mut handler, &mut version).await {
+                Followed::Changes => continue,
+                Followed::Behind => catch_up = true,
+            }
+        }
+        let now_regained = state.regained.load(Ordering::Relaxed);
+        let outage = store_outage.is_ongoing() || now_regained != regained;
+        regained = now_regained;
+        let poll = Poll {
+            version,
+            outage,
+            catch_up,
+        };
+        match poll_store(&store, &mut handler, &state.feeds, poll).await {
             Ok(PollResult { next, newest }) => {
                 state.metrics.on_call(handler.kind(), "answered");
                 let failures = store_outage.on_answer();
@@ -127,11 +164,68 @@
                 let pause = RETRY_PAUSE * (1 << store_outage.on_failure().min(MAX_DOUBLINGS));
                 tokio::select! {
                     () = state.timers.after(pause) => {}
-                    () = handler.notifier().notified() => {}
+                    // A peer that reaches the store may send the changes, or tell that it is back.
+                    _followed = follow(&state, &mut handler, &mut version) => {}
+                }
+            }
+        }
+    }
+}
+
+/// Why a node that follows the readers has stopped waiting.
+enum Followed {
+    /// It has applied changes, or its role may have changed.
+    Changes,
+    /// A reader knows changes that it did not send, so the store has to be called.
+    Behind,
+}
+
+/// Waits for changes that readers of the store send, and applies them.
+async fn follow<D, F>(state: &State<D>, handler: &mut F, version: &mut Option<Version>) -> Followed
+where
+    F: WatchHandler,
+{
+    let Some(feed) = F::FEED else {
+        // Changes of the configuration come with the confirmations.
+        state.timers.after(ROLE_PERIOD).await;
+        return Followed::Changes;
+    };
+    tokio::select! {
+        () = state.timers.after(ROLE_PERIOD) => {}
+        () = state.feeds.arrived(feed) => {
+            for batch in state.feeds.take(feed) {
+                if !state.feeds.continues(feed, &batch) {
+                    continue;
                 }
+                for change in &batch.changes {
+                    let event = Event {
+                        name: change.name.clone(),
+                        version: change.version,
+                        value: change.value.clone(),
+                    };
+                    handler.on_event(event, change.outage);
+                }
+                let newest = batch.changes.iter().map(|change| change.version).max();
+                handler.on_answer(batch.upto, newest);
+                *version = Some(batch.upto);
+                state.metrics.on_call(handler.kind(), "followed");
+                state.feeds.on_changes(feed, batch.upto, batch.changes);
             }
         }
+        () = handler.notifier().notified() => return Followed::Behind,
     }
+    Followed::Changes
+}
+
+/// How to call the store.
+#[derive(Debug, Clone, Copy)]
+struct Poll {
+    /// The version after which to continue, or `None` for a list.
+    version: Option<Version>,
+    /// Whether the store was unavailable until just now.
+    outage: bool,
+    /// Whether to return at once even if there are no changes.
+    catch_up: bool,
 }
 
 /// The result of one call.
@@ -145,35 +239,43 @@
 async fn poll_store<F, H>(
     store: &Store<F>,
     handler: &mut H,
-    version: Option<Version>,
-    outage: bool,
+    feeds: &Feeds,
+    poll: Poll,
 ) -> Result<PollResult, Error>
 where
     F: catkinusher_platform::form::Form,
     H: WatchHandler,
 {
+    let Poll {
+        version,
+        outage,
+        catch_up,
+    } = poll;
     match version {
         None => {
             let listing = store.list(handler.kind(), "").await?;
             let newest = listing.objects.iter().map(|object| object.version).max();
             handler.on_list(listing.objects, outage);
+            if let Some(feed) = H::FEED {
+                feeds.on_list(feed, listing.version);
+            }
             Ok(PollResult {
                 next: listing.version,
                 newest,
             })
         }
-        Some(version) => {
+        Some(after) => {
             // Only entries missing from the first answer after an outage may have
             // expired during it, so that call does not wait for further changes.
-            let timeout = if outage {
+            let timeout = if outage || catch_up {
                 MIN_WATCH_TIMEOUT
             } else {
                 WATCH_TIMEOUT
             };
             let watched = tokio::select! {
-                watched = store.watch(handler.kind(), version, timeout) => watched?,
+                watched = store.watch(handler.kind(), after, timeout) => watched?,
                 // The connection of the waiting call may have stalled.
-                () = handler.notifier().notified() => store.watch(handler.kind(), version, MIN_WATCH_TIMEOUT).await?,
+                () = handler.notifier().notified() => store.watch(handler.kind(), after, MIN_WATCH_TIMEOUT).await?,
             };
             // A removal event may carry the version of the object's last change.
             let version = |event: &Event<Value>| match event.value {
@@ -181,6 +283,20 @@
                 None => watched.version,
             };
             let newest = watched.events.iter().map(version).max();
+            if let Some(feed) = H::FEED {
+                // A removal may carry an old version, but must follow the changes before it.
+                let mut last = Version::new(after.get() + 1);
+                let changes = watched.events.iter().map(|event| {
+                    last = last.max(event.version);
+                    Change {
+                        version: last,
+                        name: event.name.clone(),
+                        value: event.value.clone(),
+                        outage,
+                    }
+                });
+                feeds.on_changes(feed, watched.version, changes.collect());
+            }
             for event in watched.events {
                 handler.on_event(event, outage);
             }
@@ -242,6 +358,8 @@
     D: Dialect,
     S: StoreSchema,
 {
+    const FEED: Option<Feed> = None;
+
     fn kind(&self) -> &'static str {
         S::CONFIGURATION.0
     }
@@ -311,6 +429,8 @@
     D: Dialect,
     S: StoreSchema,
 {
+    const FEED: Option<Feed> = Some(Feed::Upstreams);
+
     fn kind(&self) -> &'static str {
         S::UPSTREAMS
     }
@@ -375,6 +495,8 @@
     D: Dialect,
     S: StoreSchema,
 {
+    const FEED: Option<Feed> = Some(Feed::Drained);
+
     fn kind(&self) -> &'static str {
         S::DRAINED
     }
@@ -407,3 +529,83 @@
         self.state.view().drained.on_answer(seen, newest);
     }
 }
+
+struct NodeHandler<D, S> {
+    state: Arc<State<D>>,
+    members: BTreeMap<String, Member>,
+    schema: PhantomData<S>,
+}
+
+impl<D, S> NodeHandler<D, S>
+where
+    D: Dialect,
+    S: StoreSchema,
+{
+    fn parse(name: &str, value: Value) -> Option<Member> {
+        match serde_json::from_value(value) {
+            Ok(member) => Some(member),
+            Err(fault) => {
+                warn!(event = "peers", node = name, outcome = "bad-entry", %fault);
+                None
+            }
+        }
+    }
+
+    fn apply(&self) {
+        let members: Vec<Member> = self.members.values().cloned().collect();
+        info!(event = "peers", listed = members.len());
+        let mut roster = self.state.roster();
+        roster.on_list(members, clock::boot_time());
+        let count = roster.len();
+        drop(roster);
+        self.state.fleet().on_node_count(count);
+    }
+}
+
+impl<D, S> WatchHandler for NodeHandler<D, S>
+where
+    D: Dialect,
+    S: StoreSchema,
+{
+    const FEED: Option<Feed> = Some(Feed::Nodes);
+
+    fn kind(&self) -> &'static str {
+        S::NODES
+    }
+
+    fn notifier(&self) -> &Notify {
+        &self.state.notifiers.nodes
+    }
+
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _outage: bool) {
+        self.members = objects
+            .into_iter()
+            .filter_map(|object| {
+                Some((
+                    object.name.clone(),
+                    Self::parse(&object.name, object.value)?,
+                ))
+            })
+            .collect();
+        self.apply();
+    }
+
+    fn on_event(&mut self, event: Event<Value>, _outage: bool) {
+        match event
+            .value
+            .and_then(|value| Self::parse(&event.name, value))
+        {
+            Some(member) => {
+                self.members.insert(event.name, member);
+            }
+            None => {
+                self.members.remove(&event.name);
+            }
+        }
+        self.apply();
+    }
+
+    fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
+        self.state.view().nodes.on_answer(seen, newest);
+    }
+}
