Replace readers that cannot read the store, and read old data where it suffices

Ruled out: a slow feed; the readers had no changes to pass on. Change: a reader says that it cannot read, and the next ones read in its place, while it tries on. The first reader reads each 0.6 s and the others only if it does not confirm them.

--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -11,6 +11,7 @@
 //! extend the validity of a configuration
 //! (see [docs/design/platform.md](../../../../docs/design/platform.md)).
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,11 +28,32 @@
 /// The number of nodes per reader, which keeps the query load of a reader low.
 const NODES_PER_READER: usize = 40;
 
-/// The fraction of the interval after which a reader reads again.
-const READ_FRACTION: f64 = 0.5;
+/// The age of the confirmation, as a fraction of the interval, at which the first reader reads.
+const FIRST_READ_FRACTION: f64 = 0.5;
+
+/// The same for the other readers, which the first one confirms as long as it works.
+const READ_FRACTION: f64 = 0.75;
+
+/// The fraction of the interval after which a failed read is repeated.
+const RETRY_FRACTION: f64 = 0.5;
 
 /// The fraction of the interval after which a node sends the next query.
-const QUERY_FRACTION: f64 = 0.4;
+const QUERY_FRACTION: f64 = 0.3;
+
+/// The multiple of the interval for which a node that cannot read the store is passed over.
+const UNFIT_FACTOR: u32 = 2;
+
+/// The age of the confirmation, as a fraction of the interval, from which a node asks more often.
+const LATE_FRACTION: f64 = 1.0;
+
+/// The fraction of the interval after which such a node sends the next query.
+const LATE_QUERY_FRACTION: f64 = 0.1;
+
+/// Of this many queries, one goes to a reader that could not read the store.
+const UNFIT_QUERIES: usize = 3;
+
+/// How long a node that has just started waits for a reply before it reads the store, as a fraction of the interval.
+const START_FRACTION: f64 = 0.4;
 
 /// The multiple of the interval after which a node without a confirmation reads the store itself: two lost queries.
 const OVERDUE_FACTOR: f64 = 1.5;
@@ -49,6 +71,8 @@
     pub number: u64,
     /// How long ago the configuration was confirmed, in milliseconds, rounded up.
     pub age: u64,
+    /// Whether the replying node cannot read the store at present.
+    pub failing: bool,
     /// What the replying node has seen of the store.
     pub known: StorePosition,
 }
@@ -69,8 +93,10 @@
 /// An action for the caller of [`Confirmer::poll`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
-    /// Read the configuration from the store.
+    /// Read the configuration from the store, as it is now.
     Read,
+    /// Read it as it was at most seconds ago, since a peer has this revision.
+    Fetch(u64),
     /// Send a query to a peer, with a number that its reply repeats.
     Ask(SocketAddr, u64),
 }
@@ -86,7 +112,7 @@
     Ignored,
 }
 
-/// The last query, until it is answered.
+/// A query that is not answered yet.
 #[derive(Debug, Clone, Copy)]
 struct OpenQuery {
     number: u64,
@@ -103,13 +129,6 @@
     }
 }
 
-/// The nodes that read the store for the others, as far as this node knows.
-#[must_use]
-pub fn readers(roster: &Roster, now: Time) -> Vec<SocketAddr> {
-    let count = MIN_READERS.max(roster.len() / NODES_PER_READER);
-    roster.holders(&duty(), count, now)
-}
-
 /// Decides when a node reads the store and which peer it queries.
 ///
 /// All times must come from a clock that advances while the machine is suspended.
@@ -118,14 +137,21 @@
     interval: Duration,
     freshness: Freshness,
     reading: bool,
-    /// A peer has a newer configuration.
-    behind: bool,
+    /// A peer has this newer revision of the configuration.
+    behind: Option<u64>,
+    /// What was fetched did not suffice.
+    must_read: bool,
+    started_at: Option<Time>,
     read_at: Time,
     query_at: Time,
     /// Consecutive failed reads.
     failures: u32,
     query_number: u64,
-    open_query: Option<OpenQuery>,
+    open_queries: Vec<OpenQuery>,
+    /// When the last reply arrived, whatever it told.
+    replied_at: Option<Time>,
+    /// Nodes that cannot read the store, and until when they are passed over.
+    unfit: HashMap<SocketAddr, Time>,
 }
 
 impl Confirmer {
@@ -136,12 +162,16 @@
             interval,
             freshness: Freshness::default(),
             reading: false,
-            behind: false,
+            behind: None,
+            must_read: false,
+            started_at: None,
             read_at: Time::ZERO,
             query_at: Time::ZERO,
             failures: 0,
             query_number: 0,
-            open_query: None,
+            open_queries: Vec::new(),
+            replied_at: None,
+            unfit: HashMap::new(),
         }
     }
 
@@ -153,52 +183,148 @@
 
     /// Returns the actions that are due now; to be called again after [`Self::poll_interval`].
     ///
-    /// A reader that has not answered the query before counts as silent.
+    /// A reader that does not answer a query in time counts as silent.
     pub fn poll(&mut self, roster: &mut Roster, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
-        if now >= self.query_at {
-            self.query_at = now + self.interval.mul_f64(QUERY_FRACTION);
-            if let Some(query) = self.open_query.take() {
+        let limit = self.interval.mul_f64(QUERY_FRACTION);
+        self.unfit.retain(|_, until| now < *until);
+        self.open_queries.retain(|query| {
+            let is_open = now.since(query.sent_at) < limit;
+            if !is_open {
                 roster.on_unanswered(query.peer, query.sent_at, now);
             }
+            is_open
+        });
+        if now >= self.query_at {
+            self.query_at = now + self.interval.mul_f64(self.query_fraction(now));
             self.query_number += 1;
             let number = self.query_number;
-            let others: Vec<_> = readers(roster, now)
-                .into_iter()
-                .filter(|reader| *reader != roster.own())
-                .collect();
-            // Each query goes to the next reader, so that one that does not reply is skipped.
-            if let Some(peer) = others.get(number as usize % others.len().max(1)) {
-                self.open_query = Some(OpenQuery {
+            if let Some(peer) = self.next_reader(roster, now) {
+                self.open_queries.push(OpenQuery {
                     number,
-                    peer: *peer,
+                    peer,
                     sent_at: now,
                 });
-                actions.push(Action::Ask(*peer, number));
+                actions.push(Action::Ask(peer, number));
             }
             if let Some(peer) = roster.take_probe(&duty(), now) {
                 actions.push(Action::Ask(peer, PROBE));
             }
         }
-        let due = self.behind || self.is_overdue(now) || self.is_reader(roster, now);
-        if !self.reading && now >= self.read_at && due {
+        let started_at = *self.started_at.get_or_insert(now);
+        if self.reading || now < self.read_at {
+            return actions;
+        }
+        if let Some(revision) = self.behind.take() {
             self.reading = true;
-            self.behind = false;
+            actions.push(Action::Fetch(revision));
+        } else if self.must_read || self.is_read_due(roster, started_at, now) {
+            self.reading = true;
+            self.must_read = false;
             actions.push(Action::Read);
         }
         actions
     }
 
+    /// Whether this node should read the store, as a reader or for itself.
+    fn is_read_due(&self, roster: &Roster, started_at: Time, now: Time) -> bool {
+        let Some(age) = self.freshness.age(now) else {
+            // A reader may confirm the first configuration sooner than the store.
+            let patience = self.interval.mul_f64(START_FRACTION);
+            return now.since(started_at) >= patience || self.is_reader(roster, now);
+        };
+        let fraction = match self
+            .readers(roster, now)
+            .iter()
+            .position(|reader| *reader == roster.own())
+        {
+            Some(0) => FIRST_READ_FRACTION,
+            Some(_) => READ_FRACTION,
+            // Other nodes try to read it, and have not reached it either.
+            None if self.hears_readers(now) => return false,
+            None => OVERDUE_FACTOR,
+        };
+        age >= self.interval.mul_f64(fraction)
+    }
+
+    /// Whether a node replied lately.
+    fn hears_readers(&self, now: Time) -> bool {
+        let limit = self.interval.mul_f64(OVERDUE_FACTOR);
+        self.replied_at
+            .is_some_and(|replied_at| now.since(replied_at) < limit)
+    }
+
+    /// The nodes that read the store for the others, as far as this node knows.
+    ///
+    /// For those that cannot read it at present, the next ones read it too.
+    #[must_use]
+    pub fn readers(&self, roster: &Roster, now: Time) -> Vec<SocketAddr> {
+        let count = MIN_READERS.max(roster.len() / NODES_PER_READER);
+        let most = count + self.unfit.len() + 1;
+        let mut fit = 0;
+        roster
+            .holders(&duty(), most, now)
+            .into_iter()
+            .enumerate()
+            .filter(|(rank, node)| {
+                let is_fit = !self.is_unfit(*node, roster, now);
+                let is_reader = *rank < count || (is_fit && fit < count);
+                fit += usize::from(is_fit);
+                is_reader
+            })
+            .map(|(_, node)| node)
+            .collect()
+    }
+
+    fn is_unfit(&self, node: SocketAddr, roster: &Roster, now: Time) -> bool {
+        if node == roster.own() {
+            return self.failures > 0;
+        }
+        self.unfit.get(&node).is_some_and(|until| now < *until)
+    }
+
+    /// The reader that gets the next query.
+    ///
+    /// Queries go round, so that a reader that does not reply is skipped. Those
+    /// that could not read the store get only a part of them.
+    fn next_reader(&self, roster: &Roster, now: Time) -> Option<SocketAddr> {
+        let (unfit, fit): (Vec<_>, Vec<_>) = self
+            .readers(roster, now)
+            .into_iter()
+            .filter(|reader| *reader != roster.own())
+            .partition(|reader| self.is_unfit(*reader, roster, now));
+        let number = self.query_number as usize;
+        let retry = number.is_multiple_of(UNFIT_QUERIES);
+        let (first, second) = if retry { (unfit, fit) } else { (fit, unfit) };
+        let turn = if retry {
+            number / UNFIT_QUERIES
+        } else {
+            number
+        };
+        let pick = |nodes: &[SocketAddr]| nodes.get(turn % nodes.len().max(1)).copied();
+        pick(&first).or_else(|| pick(&second))
+    }
+
+    /// The interval between queries, as a fraction of the interval between confirmations.
+    fn query_fraction(&self, now: Time) -> f64 {
+        let late = self.interval.mul_f64(LATE_FRACTION);
+        if self.freshness.within(late, now) {
+            QUERY_FRACTION
+        } else {
+            LATE_QUERY_FRACTION
+        }
+    }
+
     /// Whether this node reads the store for others.
     #[must_use]
     pub fn is_reader(&self, roster: &Roster, now: Time) -> bool {
-        readers(roster, now).contains(&roster.own())
+        self.readers(roster, now).contains(&roster.own())
     }
 
     /// The interval at which to call [`Self::poll`].
     #[must_use]
     pub fn poll_interval(&self) -> Duration {
-        self.interval.mul_f64(QUERY_FRACTION / 4.0)
+        self.interval.mul_f64(LATE_QUERY_FRACTION)
     }
 
     /// Records a successful read of the configuration that began at `began`.
@@ -206,13 +332,18 @@
         self.freshness.on_confirmed(began);
         self.reading = false;
         self.failures = 0;
-        self.read_at = began + self.interval.mul_f64(READ_FRACTION);
+    }
+
+    /// Records the end of a fetch; `current` tells whether this node now has the revision that it asked for.
+    pub fn on_fetch(&mut self, current: bool) {
+        self.reading = false;
+        self.must_read |= !current;
     }
 
     /// Records a failed read.
     pub fn on_failure(&mut self, roster: &Roster, now: Time) {
         self.reading = false;
-        let delay = self.interval.mul_f64(READ_FRACTION);
+        let delay = self.interval.mul_f64(RETRY_FRACTION);
         // Readers do not back off, as all other nodes depend on them.
         let is_reader = self.is_reader(roster, now);
         let doublings = if is_reader {
@@ -228,7 +359,12 @@
     #[must_use]
     pub fn reply(&self, number: u64, known: StorePosition, now: Time) -> Option<ConfirmReply> {
         let age = self.freshness.age(now)?.as_millis() as u64 + 1;
-        Some(ConfirmReply { number, age, known })
+        Some(ConfirmReply {
+            number,
+            age,
+            failing: self.failures > 0,
+            known,
+        })
     }
 
     /// Whether the last confirmation is so old that this node reads the store itself.
@@ -240,15 +376,24 @@
     }
 
     /// Handles a reply, at a node whose configuration has `revision`.
-    pub fn on_reply(&mut self, reply: &ConfirmReply, revision: u64) -> ReplyOutcome {
-        let Some(OpenQuery { sent_at, .. }) =
-            self.open_query.filter(|query| query.number == reply.number)
+    pub fn on_reply(&mut self, reply: &ConfirmReply, revision: u64, now: Time) -> ReplyOutcome {
+        let open = self
+            .open_queries
+            .iter()
+            .position(|query| query.number == reply.number);
+        let Some(OpenQuery { sent_at, peer, .. }) =
+            open.map(|index| self.open_queries.swap_remove(index))
         else {
             return ReplyOutcome::Ignored;
         };
-        self.open_query = None;
+        self.replied_at = Some(now);
+        if reply.failing {
+            self.unfit.insert(peer, now + self.interval * UNFIT_FACTOR);
+        } else {
+            self.unfit.remove(&peer);
+        }
         if reply.known.revision > revision {
-            self.behind = true;
+            self.behind = Some(reply.known.revision);
             self.read_at = Time::ZERO;
             return ReplyOutcome::Behind;
         }
--- a/crates/catkinusher-platform/src/form/mod.rs
+++ b/crates/catkinusher-platform/src/form/mod.rs
@@ -88,6 +88,12 @@
     /// Encodes a watch of at most `wait` for changes of a kind after a version.
     fn watch(&self, kind: &str, after: Version, wait: Duration) -> Wire;
 
+    /// Lets a read be answered with data that may be seconds old, if the platform offers it for a lower price.
+    #[must_use]
+    fn allow_stale(&self, wire: Wire) -> Wire {
+        wire
+    }
+
     /// Encodes a write.
     ///
     /// # Errors
--- a/crates/catkinusher-platform/src/store/mod.rs
+++ b/crates/catkinusher-platform/src/store/mod.rs
@@ -36,6 +36,7 @@
 pub struct Store<F = Native> {
     transport: Transport,
     priority: Priority,
+    stale: bool,
     form: F,
 }
 
@@ -75,6 +76,7 @@
         Self {
             transport: Transport::new(addrs, timeout, gate),
             priority: Priority::Configuration,
+            stale: false,
             form,
         }
     }
@@ -85,10 +87,29 @@
         Self {
             transport: self.transport.clone(),
             priority,
+            stale: self.stale,
             form: self.form.clone(),
         }
     }
 
+    /// Returns a client whose reads may be answered with data that is seconds old.
+    #[must_use]
+    pub fn stale(&self) -> Self {
+        Self {
+            stale: true,
+            ..self.clone()
+        }
+    }
+
+    /// The wire form of a read, by the consistency of this client.
+    fn read(&self, wire: Wire) -> Wire {
+        if self.stale {
+            self.form.allow_stale(wire)
+        } else {
+            wire
+        }
+    }
+
     /// Reads one object; `None` if it does not exist.
     ///
     /// # Errors
@@ -98,7 +119,7 @@
     where
         T: DeserializeOwned,
     {
-        let call = call(self.form.get(kind, name), OBJECT_LIMIT);
+        let call = call(self.read(self.form.get(kind, name)), OBJECT_LIMIT);
         let reply = self.send(call).await?;
         match reply.status {
             StatusCode::OK => self.form.object(&reply.body).map(Some),
@@ -137,7 +158,7 @@
     where
         T: DeserializeOwned,
     {
-        let call = call(self.form.list(kind, prefix, after), LIST_LIMIT);
+        let call = call(self.read(self.form.list(kind, prefix, after)), LIST_LIMIT);
         let reply = self.send(call).await?;
         match reply.status {
             StatusCode::OK => self.form.listing(&reply.body),
@@ -214,7 +235,7 @@
     where
         T: DeserializeOwned,
     {
-        let mut call = call(self.form.watch(kind, after, wait), LIST_LIMIT);
+        let mut call = call(self.read(self.form.watch(kind, after, wait)), LIST_LIMIT);
         call.wait = wait;
         let reply = self.send(call).await?;
         match reply.status {
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -54,6 +54,11 @@
                         (Arc::clone(&state), store.clone(), schema.clone());
                     tokio::spawn(async move { read(&state, &store, &schema).await });
                 }
+                Action::Fetch(revision) => {
+                    let (state, store, schema) =
+                        (Arc::clone(&state), store.stale(), schema.clone());
+                    tokio::spawn(async move { fetch(&state, &store, &schema, revision).await });
+                }
                 Action::Ask(peer, number) => {
                     let seen = Feed::ALL.map(|feed| state.feeds.upto(feed));
                     peers::send(&socket, &Message::ConfirmQuery(number, seen), peer);
@@ -106,6 +111,36 @@
     }
 }
 
+/// Reads a revision that a peer has, which confirms nothing, as the answer may be old.
+async fn fetch<D, S>(state: &State<D>, store: &Store<S::Form>, schema: &S, revision: u64)
+where
+    D: Dialect,
+    S: StoreSchema,
+{
+    let (kind, name) = S::CONFIGURATION;
+    match store.get::<Value>(kind, name).await {
+        Ok(object) => {
+            if let Some(object) = object {
+                // A bad object ends the trust only if a read shows that it is the newest.
+                let _applied =
+                    watch::apply_configuration(state, schema, &object.name, object.value);
+            }
+            let current = state.view().position().revision >= revision;
+            state
+                .metrics
+                .on_call("fetch", if current { "answered" } else { "old" });
+            state.confirmer().on_fetch(current);
+        }
+        Err(error) => {
+            debug!("confirm: cannot fetch revision {revision}: {error}");
+            state.metrics.on_call("fetch", "failed");
+            let mut confirmer = state.confirmer();
+            confirmer.on_failure(&state.roster(), clock::boot_time());
+        }
+    }
+    state.notifiers.confirm.notify_one();
+}
+
 /// Replies to a peer's confirmation query; `None` if this node has no confirmation.
 pub(super) fn reply_to_peer<D>(state: &State<D>, number: u64) -> Option<ConfirmReply> {
     let known = state.view().position();
@@ -115,7 +150,9 @@
 /// Handles a peer's reply to a confirmation query.
 pub(super) fn on_peer_reply<D>(state: &State<D>, reply: &ConfirmReply) {
     let revision = state.view().position().revision;
-    let outcome = on_confirmed(state, |confirmer| confirmer.on_reply(reply, revision));
+    let outcome = on_confirmed(state, |confirmer| {
+        confirmer.on_reply(reply, revision, clock::boot_time())
+    });
     match outcome {
         ReplyOutcome::Confirmed => {}
         ReplyOutcome::Behind => {
--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -20,7 +20,7 @@
 pub(super) use self::message::{Feed, Message, Question, send};
 
 use super::dialect::{Dialect, StoreSchema};
-use super::state::State;
+use super::state::{Registration, State};
 use super::{clock, confirm, placing};
 
 /// How often expired idle connections are closed.
@@ -29,6 +29,9 @@
 /// The pause after a failed call to register, and the timeout for unregistering.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
+/// How often a starting node checks whether the nodes are listed.
+const LIST_POLL: Duration = Duration::from_millis(50);
+
 /// The pause after a failed attempt to receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(12);
 
@@ -92,7 +95,11 @@
 {
     let own = state.settings.member();
     let name = state.settings.node.as_str().to_owned();
-    loop {
+    // The entry of an earlier process on this VM may still be there and right.
+    while state.registration() == Registration::Unknown {
+        state.timers.after(LIST_POLL).await;
+    }
+    while state.registration() != Registration::Listed(own.clone()) {
         match write_registration::<S>(&store, &name, &own).await {
             Ok(()) => break,
             Err(error) => {
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use catkinusher_core::placer::{Asker, Placer};
 use catkinusher_core::rendezvous::Salt;
 use catkinusher_core::retry::{self, Budget};
-use catkinusher_core::roster::Roster;
+use catkinusher_core::roster::{Member, Roster};
 use catkinusher_core::time::Time;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -79,6 +79,18 @@
     }
 }
 
+/// How this node is registered in the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) enum Registration {
+    /// The nodes are not listed yet.
+    #[default]
+    Unknown,
+    /// There is no entry for this node.
+    Missing,
+    /// There is one, perhaps of an earlier process.
+    Listed(Member),
+}
+
 #[derive(Debug)]
 pub(super) struct State<D> {
     pub(super) settings: Settings,
@@ -102,6 +114,7 @@
     pub(super) regained: AtomicU64,
     socket: OnceLock<Arc<UdpSocket>>,
     roster: Mutex<Roster>,
+    registration: Mutex<Registration>,
     placer: Mutex<Placer>,
     confirmer: Mutex<Confirmer>,
     view: Mutex<StoreView>,
@@ -125,6 +138,7 @@
             regained: AtomicU64::new(0),
             socket: OnceLock::new(),
             roster: Mutex::new(roster),
+            registration: Mutex::default(),
             placer: Mutex::default(),
             settings,
             dialect,
@@ -178,6 +192,19 @@
         let _first = self.socket.set(socket);
     }
 
+    /// Records how this node is registered, as far as the list of nodes tells.
+    pub(super) fn set_registration(&self, member: Option<&Member>) {
+        *lock(&self.registration) = match member {
+            Some(member) => Registration::Listed(member.clone()),
+            None => Registration::Missing,
+        };
+    }
+
+    /// How this node is registered.
+    pub(super) fn registration(&self) -> Registration {
+        lock(&self.registration).clone()
+    }
+
     /// Whether this node reads the store for others.
     pub(super) fn is_reader(&self) -> bool {
         let now = clock::boot_time();
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -118,7 +118,13 @@
     let mut version = None;
     let mut store_outage = StoreOutage::default();
     let mut regained = 0;
+    let mut compacted = false;
     loop {
+        if F::FEED.is_none() && !state.is_reader() {
+            // Only readers watch the configuration; for others it comes with the confirmations.
+            state.timers.after(ROLE_PERIOD).await;
+            continue;
+        }
         let mut catch_up = false;
         if version.is_some() && !store_outage.is_ongoing() && !state.is_reader() {
             match follow(&state, &mut handler, &mut version).await {
@@ -134,6 +140,14 @@
             outage,
             catch_up,
         };
+        // A list begins a watch, and a catch-up is repeated until readers know no more,
+        // so both may be old, unless the changes since an old list may be gone.
+        let may_be_old = (version.is_none() && !compacted) || catch_up;
+        let store = if may_be_old && !outage {
+            store.stale()
+        } else {
+            store.clone()
+        };
         match poll_store(&store, &mut handler, &state.feeds, poll).await {
             Ok(PollResult { next, newest }) => {
                 state.metrics.on_call(handler.kind(), "answered");
@@ -146,6 +160,7 @@
                         failures
                     );
                 }
+                compacted = false;
                 let first = version.replace(next).is_none();
                 handler.on_answer(next, newest);
                 if newest.is_some() && !first {
@@ -155,6 +170,7 @@
             Err(Error::Compacted { after }) => {
                 info!(event = "store", kind = handler.kind(), outcome = "compacted", %after);
                 version = None;
+                compacted = true;
             }
             Err(error) => {
                 if !store_outage.is_ongoing() {
@@ -186,9 +202,8 @@
     F: WatchHandler,
 {
     let Some(feed) = F::FEED else {
-        // Changes of the configuration come with the confirmations.
-        state.timers.after(ROLE_PERIOD).await;
-        return Followed::Changes;
+        handler.notifier().notified().await;
+        return Followed::Behind;
     };
     tokio::select! {
         () = state.timers.after(ROLE_PERIOD) => {}
@@ -552,6 +567,8 @@
     }
 
     fn apply(&self) {
+        self.state
+            .set_registration(self.members.get(self.state.settings.node.as_str()));
         let members: Vec<Member> = self.members.values().cloned().collect();
         info!(event = "peers", listed = members.len());
         let mut roster = self.state.roster();
