End stalled streams that drip bytes, and call the store less after an outage

Cause: a stream counted as alive whenever any byte came, so a server that stalled within an event and sent a byte now and then held its caller to the deadline. Ruled out: endless bytes in a head, a body, a stream or after an answer; each is cut at its bound and reaches no caller (platform/tests/endless.rs, passes unchanged).

--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -248,7 +248,8 @@
     }
 
     /// Whether a node replied lately.
-    fn hears_readers(&self, now: Time) -> bool {
+    #[must_use]
+    pub fn hears_readers(&self, now: Time) -> bool {
         let limit = self.interval.mul_f64(OVERDUE_FACTOR);
         self.replied_at
             .is_some_and(|replied_at| now.since(replied_at) < limit)
@@ -394,7 +395,10 @@
         }
         if reply.known.revision > revision {
             self.behind = Some(reply.known.revision);
-            self.read_at = Time::ZERO;
+            // A store that turns this node away is not called more often for it.
+            if self.failures == 0 {
+                self.read_at = Time::ZERO;
+            }
             return ReplyOutcome::Behind;
         }
         let confirmed_at = Time::from_micros(
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -192,11 +192,15 @@
     let lost = confirmer.freshness().age(now).is_some() && confirmer.is_overdue(now);
     let done = act(&mut confirmer);
     let regained = lost && !confirmer.is_overdue(now);
+    // Others get what changed from the readers.
+    let reads = !confirmer.hears_readers(now) || confirmer.is_reader(&state.roster(), now);
     drop(confirmer);
     if regained {
         info!(event = "store", outcome = "confirmed");
-        state.regained.fetch_add(1, Ordering::Relaxed);
-        state.notifiers.notify_watches();
+        state.regained_at.store(now.as_micros(), Ordering::Relaxed);
+        if reads {
+            state.notifiers.notify_watches();
+        }
     }
     done
 }
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -183,13 +183,13 @@
     D: Dialect,
 {
     let timers = job.state.timers.clone();
-    let mut last_read = job.state.now();
-    let mut stall_timer = std::pin::pin!(timers.at((last_read + stall_timeout).min(job.deadline)));
+    // A server that stalls may send a byte now and then, so only whole events count.
+    let mut last_event = job.state.now();
+    let mut stall_timer = std::pin::pin!(timers.at((last_event + stall_timeout).min(job.deadline)));
     loop {
         tokio::select! {
             frame = next_data(&mut attempt.response) => match frame {
                 Some(Ok(bytes)) => {
-                    last_read = job.state.now();
                     let whole = match events.push(&bytes) {
                         Ok(whole) => whole,
                         Err(fault) => return StreamEnd::Lost(fault.to_string()),
@@ -197,7 +197,8 @@
                     if whole.is_empty() {
                         continue;
                     }
-                    arrivals.on_event(last_read);
+                    last_event = job.state.now();
+                    arrivals.on_event(last_event);
                     attempt.resources.on_read();
                     if caller.send(Ok(whole.into())).await.is_err() {
                         return StreamEnd::ClientLeft;
@@ -213,10 +214,10 @@
                 if now >= job.deadline {
                     return StreamEnd::DeadlinePassed;
                 }
-                if now >= last_read + stall_timeout {
+                if now >= last_event + stall_timeout {
                     return StreamEnd::Stalled;
                 }
-                stall_timer.set(timers.at((last_read + stall_timeout).min(job.deadline)));
+                stall_timer.set(timers.at((last_event + stall_timeout).min(job.deadline)));
             }
         }
     }
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -35,6 +35,9 @@
 /// callers are sent elsewhere before this node has to refuse them.
 const READY_MARGIN: Duration = Duration::from_millis(900);
 
+/// How long after an outage of the store a call may be the first that shows what lapsed in it.
+const REGAINED_PERIOD: Duration = Duration::from_secs(1);
+
 /// What this node knows of the objects in the store.
 #[derive(Debug, Default)]
 pub(super) struct StoreView {
@@ -110,8 +113,8 @@
     pub(super) incarnation: u32,
     pub(super) asks: Asks<D>,
     pub(super) feeds: Feeds,
-    /// How often the store was confirmed again after an outage.
-    pub(super) regained: AtomicU64,
+    /// When the store was last confirmed again after an outage, in microseconds since boot.
+    pub(super) regained_at: AtomicU64,
     socket: OnceLock<Arc<UdpSocket>>,
     roster: Mutex<Roster>,
     registration: Mutex<Registration>,
@@ -135,7 +138,7 @@
             incarnation: rand::random(),
             asks: Asks::default(),
             feeds: Feeds::default(),
-            regained: AtomicU64::new(0),
+            regained_at: AtomicU64::new(0),
             socket: OnceLock::new(),
             roster: Mutex::new(roster),
             registration: Mutex::default(),
@@ -205,6 +208,13 @@
         lock(&self.registration).clone()
     }
 
+    /// When the store was last confirmed again after an outage, if that was just now.
+    pub(super) fn regained_store_at(&self) -> Option<Time> {
+        let regained_at = Time::from_micros(self.regained_at.load(Ordering::Relaxed));
+        let recent = clock::boot_time().since(regained_at) < REGAINED_PERIOD;
+        (regained_at > Time::ZERO && recent).then_some(regained_at)
+    }
+
     /// Whether this node reads the store for others.
     pub(super) fn is_reader(&self) -> bool {
         let now = clock::boot_time();
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::marker::PhantomData;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use catkinusher_core::feed::Change;
 use catkinusher_core::freshness::StoreOutage;
 use catkinusher_core::id::{DataCentreId, UpstreamId};
 use catkinusher_core::roster::Member;
+use catkinusher_core::time::Time;
 use catkinusher_platform::{Error, Event, Object, Store, Version};
 use serde_json::Value;
 use tokio::sync::Notify;
@@ -117,8 +117,9 @@
 {
     let mut version = None;
     let mut store_outage = StoreOutage::default();
-    let mut regained = 0;
     let mut compacted = false;
+    // The end of an outage after which the store has answered already.
+    let mut seen_outage = Time::ZERO;
     loop {
         if F::FEED.is_none() && !state.is_reader() {
             // Only readers watch the configuration; for others it comes with the confirmations.
@@ -132,9 +133,8 @@
                 Followed::Behind => catch_up = true,
             }
         }
-        let now_regained = state.regained.load(Ordering::Relaxed);
-        let outage = store_outage.is_ongoing() || now_regained != regained;
-        regained = now_regained;
+        let just_regained = state.regained_store_at().filter(|at| *at != seen_outage);
+        let outage = store_outage.is_ongoing() || just_regained.is_some();
         let poll = Poll {
             version,
             outage,
@@ -161,6 +161,7 @@
                     );
                 }
                 compacted = false;
+                seen_outage = just_regained.unwrap_or(seen_outage);
                 let first = version.replace(next).is_none();
                 handler.on_answer(next, newest);
                 if newest.is_some() && !first {
