--- a/crates/catkinusherd/src/gateway/attempt/judge.rs
+++ b/crates/catkinusherd/src/gateway/attempt/judge.rs
@@ -23,9 +23,16 @@
 /// The number of resends to one upstream that do not count as attempts, as its helpers may have failed.
 const EXTRA_SENDS: u32 = 2;
 
-/// The objective above which a stream is not restarted elsewhere for a missing response; keep-alive probes detect dead upstreams sooner.
+/// The objective above which a prompt counts as long.
 const LONG_OBJECTIVE: Duration = Duration::from_secs(1);
 
+/// The response timeout of a long prompt.
+///
+/// Restarting it discards the prefill done so far, but a helper that went down
+/// silently holds it up for good. Together with a lease of memory it stays below
+/// the time for which memory may be set aside unused.
+const LONG_RESPONSE_TIMEOUT: Duration = Duration::from_millis(5500);
+
 impl<D> Job<D>
 where
     D: Dialect,
@@ -46,8 +53,7 @@
         let objective = self.route.objective;
         let patience = match self.route.delivery {
             Delivery::Whole => objective * 3 / 2,
-            // Restarting a long prompt elsewhere discards the prefill done so far.
-            Delivery::Events { .. } if objective > LONG_OBJECTIVE => return left,
+            Delivery::Events { .. } if objective > LONG_OBJECTIVE => LONG_RESPONSE_TIMEOUT,
             Delivery::Events { .. } => (objective * TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT),
         };
         patience.min(left)
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -222,6 +222,11 @@
                 }
                 Err(AttemptError::Lost(fault, detail)) => {
                     self.record_fault(&upstream, address, fault, &detail);
+                    if fault == Fault::Silent {
+                        // Any of the helpers may be what holds the prompt up.
+                        let helpers = placement.helpers.iter().map(|(id, _)| id.clone());
+                        self.avoid.extend(helpers);
+                    }
                     self.authorize_retry(&upstream)
                         .map_err(|_reason| Refusal::UpstreamFailed {
                             detail,
