--- a/crates/catkinusher-core/src/placer/mod.rs
+++ b/crates/catkinusher-core/src/placer/mod.rs
@@ -3,7 +3,7 @@
 //! If each node places its own requests by reports of all others, the messages
 //! grow with the square of the fleet, and nodes that decide at the same time
 //! choose the same upstream. Instead a node asks the one that holds the duty of
-//! a [`Cell`](crate::fleet::Cell). A request costs four small messages, whatever
+//! a [`Cell`]. A request costs four small messages, whatever
 //! the number of nodes. Prompts that have to wait do so in one queue, the
 //! shortest first. Losing the placing node costs its successor some knowledge
 //! and never correctness
--- a/crates/catkinusher-core/src/roster/mod.rs
+++ b/crates/catkinusher-core/src/roster/mod.rs
@@ -86,8 +86,29 @@
     entries: HashMap<SocketAddr, Entry>,
     /// When this node itself may carry duties.
     own_eligible: Time,
-    /// All nodes by rank for each duty, until the set of nodes changes.
-    ranks: RefCell<HashMap<Duty, Vec<SocketAddr>>>,
+    /// All nodes by rank for each duty that was asked for.
+    ranks: RefCell<HashMap<Duty, Vec<Rank>>>,
+}
+
+/// The position of a node for a duty: nodes in the duty's data centre come
+/// first, then larger ones, and the rest is decided by a hash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    remote: bool,
+    smallness: u32,
+    score: u64,
+    node: SocketAddr,
+}
+
+impl Rank {
+    fn new(duty: &Duty, member: &Member) -> Self {
+        Self {
+            remote: duty.data_centre.is_some() && member.data_centre != duty.data_centre,
+            smallness: u32::MAX - member.capacity,
+            score: SALT.score(&duty.name, &member.address.to_string()),
+            node: member.address,
+        }
+    }
 }
 
 impl Roster {
@@ -127,6 +148,46 @@
         self.ranks.borrow_mut().clear();
     }
 
+    /// Adds a node, or replaces its registration.
+    ///
+    /// A fleet of hundreds that is restarted node by node costs each node two
+    /// changes a restart, so a change must not sort all nodes again.
+    pub fn on_joined(&mut self, member: Member, now: Time) {
+        let node = member.address;
+        if node == self.own.address {
+            return;
+        }
+        let known = self.entries.get(&node);
+        if known.is_some_and(|entry| entry.member == member) {
+            return;
+        }
+        self.unrank(node);
+        for (duty, ranks) in self.ranks.get_mut() {
+            let rank = Rank::new(duty, &member);
+            let index = ranks.partition_point(|other| *other < rank);
+            ranks.insert(index, rank);
+        }
+        if let Some(entry) = self.entries.get_mut(&node) {
+            entry.member = member;
+        } else {
+            self.entries
+                .insert(node, Entry::new(member, now + PROBATION));
+        }
+    }
+
+    /// Removes a node that is no longer registered.
+    pub fn on_left(&mut self, node: SocketAddr) {
+        if self.entries.remove(&node).is_some() {
+            self.unrank(node);
+        }
+    }
+
+    fn unrank(&mut self, node: SocketAddr) {
+        for ranks in self.ranks.get_mut().values_mut() {
+            ranks.retain(|rank| rank.node != node);
+        }
+    }
+
     /// The number of registered nodes, including this one.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -241,24 +302,19 @@
             .get(duty)
             .into_iter()
             .flatten()
-            .copied()
+            .map(|rank| rank.node)
             .filter(|node| accept(*node))
             .take(count)
             .collect()
     }
 
-    /// All nodes, those in the duty's data centre first, then by capacity, then by hash.
-    fn rank(&self, duty: &Duty) -> Vec<SocketAddr> {
+    fn rank(&self, duty: &Duty) -> Vec<Rank> {
         let members = self.entries.values().map(|entry| &entry.member);
         let mut ranked: Vec<_> = members
             .chain([&self.own])
-            .map(|member| {
-                let remote = duty.data_centre.is_some() && member.data_centre != duty.data_centre;
-                let score = SALT.score(&duty.name, &member.address.to_string());
-                (remote, u32::MAX - member.capacity, score, member.address)
-            })
+            .map(|member| Rank::new(duty, member))
             .collect();
         ranked.sort_unstable();
-        ranked.into_iter().map(|(_, _, _, node)| node).collect()
+        ranked
     }
 }
--- a/crates/catkinusher-core/tests/roster.rs
+++ b/crates/catkinusher-core/tests/roster.rs
@@ -110,3 +110,30 @@
         [address(0)]
     );
 }
+
+#[test]
+fn single_changes_lead_to_the_same_holders_as_a_list() {
+    let duties = [duty("place", Some("gent")), duty("read", None)];
+    let mut changed = roster(1, 40);
+    for duty in &duties {
+        let _ranked = changed.holders(duty, 3, ms(5000));
+    }
+    for node in 0..10 {
+        changed.on_left(address(node * 3));
+        changed.on_joined(member(100 + node), ms(5000));
+    }
+    let mut grown = member(41);
+    grown.capacity = 70;
+    changed.on_joined(grown.clone(), ms(5000));
+    let mut listed = Roster::new(member(1), ms(0));
+    let left = (0..40).filter(|node| node % 3 != 0 || *node >= 30);
+    let members = left.chain(100..110).map(member).chain([grown]).collect();
+    listed.on_list(members, ms(0));
+    assert_eq!(changed.len(), listed.len());
+    for duty in &duties {
+        assert_eq!(
+            changed.holders(duty, 20, ms(9000)),
+            listed.holders(duty, 20, ms(9000))
+        );
+    }
+}
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -1,7 +1,8 @@
 //! Watches of the store: configuration, upstreams and drained data centres.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::marker::PhantomData;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -89,7 +90,7 @@
     ));
     let nodes = NodeHandler::<D, S> {
         state: Arc::clone(state),
-        members: BTreeMap::new(),
+        addresses: HashMap::new(),
         schema: PhantomData,
     };
     tokio::spawn(run_watch::<D, S, _>(
@@ -548,7 +549,7 @@
 
 struct NodeHandler<D, S> {
     state: Arc<State<D>>,
-    members: BTreeMap<String, Member>,
+    addresses: HashMap<String, SocketAddr>,
     schema: PhantomData<S>,
 }
 
@@ -566,18 +567,6 @@
             }
         }
     }
-
-    fn apply(&self) {
-        self.state
-            .set_registration(self.members.get(self.state.settings.node.as_str()));
-        let members: Vec<Member> = self.members.values().cloned().collect();
-        info!(event = "peers", listed = members.len());
-        let mut roster = self.state.roster();
-        roster.on_list(members, clock::boot_time());
-        let count = roster.len();
-        drop(roster);
-        self.state.fleet().on_node_count(count);
-    }
 }
 
 impl<D, S> WatchHandler for NodeHandler<D, S>
@@ -596,31 +585,52 @@
     }
 
     fn on_list(&mut self, objects: Vec<Object<Value>>, _outage: bool) {
-        self.members = objects
+        let members: BTreeMap<String, Member> = objects
             .into_iter()
             .filter_map(|object| {
-                Some((
-                    object.name.clone(),
-                    Self::parse(&object.name, object.value)?,
-                ))
+                let member = Self::parse(&object.name, object.value)?;
+                Some((object.name, member))
             })
             .collect();
-        self.apply();
+        info!(event = "peers", listed = members.len());
+        self.state
+            .set_registration(members.get(self.state.settings.node.as_str()));
+        self.addresses = members
+            .iter()
+            .map(|(name, member)| (name.clone(), member.address))
+            .collect();
+        let mut roster = self.state.roster();
+        roster.on_list(members.into_values().collect(), clock::boot_time());
+        let count = roster.len();
+        drop(roster);
+        self.state.fleet().on_node_count(count);
     }
 
     fn on_event(&mut self, event: Event<Value>, _outage: bool) {
-        match event
+        let is_own = event.name == self.state.settings.node.as_str();
+        let member = event
             .value
-            .and_then(|value| Self::parse(&event.name, value))
-        {
+            .and_then(|value| Self::parse(&event.name, value));
+        if is_own {
+            self.state.set_registration(member.as_ref());
+        }
+        let mut roster = self.state.roster();
+        let previous = match member {
             Some(member) => {
-                self.members.insert(event.name, member);
-            }
-            None => {
-                self.members.remove(&event.name);
+                roster.on_joined(member.clone(), clock::boot_time());
+                self.addresses.insert(event.name, member.address)
             }
+            None => self.addresses.remove(&event.name),
+        };
+        // Another node may have been registered at this address since.
+        if let Some(previous) =
+            previous.filter(|address| !self.addresses.values().any(|one| one == address))
+        {
+            roster.on_left(previous);
         }
-        self.apply();
+        let count = roster.len();
+        drop(roster);
+        self.state.fleet().on_node_count(count);
     }
 
     fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
