Log what requests wait for when a node stops

Cause: not found yet. A request that waits writes no line, so the logs cannot tell a wait for a placement from one for memory, a connection or a first byte. Change: a line when a request begins to wait for a placement, and a line for each request that the end of the process cuts off, with its stage. No logic changes.

--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -22,6 +22,7 @@
 use crate::forward::plain::headers::strip_hop_headers;
 use crate::gateway::dialect::{Dialect, Dispatch, FailedUpstream, Helper, ResponseClass};
 use crate::gateway::handle::Job;
+use crate::gateway::open::Stage;
 use crate::gateway::placing::Placed;
 use crate::gateway::pool::Connection;
 use crate::gateway::reserve::Reservation;
@@ -248,6 +249,7 @@
         resume: Option<u64>,
     ) -> Result<ActiveAttempt<D>, AttemptError> {
         let upstream = &placement.primary;
+        self.enter(Stage::Memory);
         let (helpers, reservations) = self
             .state
             .reserve(&placement.helpers)
@@ -259,6 +261,7 @@
         // once get a new connection.
         let fresh = self.route.repeat == Repeat::Once;
         let now = self.state.now();
+        self.enter(Stage::Connection);
         let connection = self.state.pool.get(address, fresh, now).await;
         let Connection { mut sender, fresh } = connection.map_err(AttemptError::Unsent)?;
         let left = self.time_left();
@@ -276,23 +279,8 @@
         let first = self.sent_to.insert(upstream.clone());
         self.sends += 1;
         let response_timeout = self.response_timeout();
-        let basis = &placement.basis;
-        info!(
-            event = "send",
-            request = self.request_id(),
-            revision = self.directory.revision(),
-            upstream = %upstream,
-            attempt = self.sends,
-            helpers = ?placement.helpers.iter().map(|(id, _)| id.as_str()).collect::<Vec<_>>(),
-            fresh,
-            choices = basis.choices,
-            shorts = basis.shorts,
-            writers = basis.writers,
-            answers = basis.load.active_requests(),
-            parts = basis.load.parts,
-            wait_ms = basis.wait.as_millis() as u64,
-            left_ms = left.as_millis() as u64,
-        );
+        self.enter(Stage::Response);
+        self.log_send(placement, fresh, left);
         let sent = tokio::select! {
             sent = sender.try_send_request(request) => sent,
             () = self.state.timers.after(response_timeout) => {
@@ -325,6 +313,7 @@
             ResponseClass::Answer => {
                 self.history.on_evidence(Evidence::Answered);
                 self.state.metrics.on_call("upstream", "answered");
+                self.enter(Stage::Answer);
                 Ok(ActiveAttempt {
                     response,
                     upstream: upstream.clone(),
@@ -349,6 +338,26 @@
         }
     }
 
+    fn log_send(&self, placement: &Placement, fresh: bool, left: Duration) {
+        let basis = &placement.basis;
+        info!(
+            event = "send",
+            request = self.request_id(),
+            revision = self.directory.revision(),
+            upstream = %placement.primary,
+            attempt = self.sends,
+            helpers = ?placement.helpers.iter().map(|(id, _)| id.as_str()).collect::<Vec<_>>(),
+            fresh,
+            choices = basis.choices,
+            shorts = basis.shorts,
+            writers = basis.writers,
+            answers = basis.load.active_requests(),
+            parts = basis.load.parts,
+            wait_ms = basis.wait.as_millis() as u64,
+            left_ms = left.as_millis() as u64,
+        );
+    }
+
     fn build_request(
         &self,
         upstream: &UpstreamId,
--- a/crates/catkinusherd/src/gateway/attempt/turn.rs
+++ b/crates/catkinusherd/src/gateway/attempt/turn.rs
@@ -12,6 +12,7 @@
 use super::NO_UPSTREAM_RETRY_AFTER;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::handle::Job;
+use crate::gateway::open::Stage;
 use crate::gateway::placing::{self, NotPlaced, Placed};
 
 /// The most unhealthy upstreams that an ask names.
@@ -39,9 +40,10 @@
             .state
             .fleet()
             .home_cell(&self.service, self.state.settings.node.as_str());
-        let waiting = placing::ask(&self.state, &cell, |number, unusable| {
+        let waiting = placing::ask(&self.state, &cell, self.request_id(), |number, unusable| {
             self.describe(number, cell.clone(), unusable)
         });
+        self.enter(Stage::Placement);
         let answer = tokio::select! {
             answer = waiting => answer,
             () = self.state.timers.at(self.deadline) => return Err(self.deadline_refusal()),
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -21,6 +21,7 @@
 use super::answer::{self, AnswerBody};
 use super::attempt::ActiveAttempt;
 use super::dialect::{Ask, Dialect};
+use super::open::{OpenRequest, Stage};
 use super::relay;
 use super::state::State;
 use crate::forward::plain::headers::strip_hop_headers;
@@ -61,15 +62,7 @@
     /// How often the request was sent.
     pub(super) sends: u32,
     pub(super) avoid: Vec<UpstreamId>,
-}
-
-impl<D> Drop for Job<D>
-where
-    D: Dialect,
-{
-    fn drop(&mut self) {
-        self.state.on_request_end();
-    }
+    pub(super) open: OpenRequest,
 }
 
 impl<D> Job<D>
@@ -81,6 +74,11 @@
         self.deadline.since(self.state.now())
     }
 
+    /// Records what the request waits for, for the log of a stop.
+    pub(super) fn enter(&self, stage: Stage) {
+        self.open.enter(stage, self.state.now());
+    }
+
     /// Whether the request may run more than once.
     pub(super) fn is_repeatable(&self) -> bool {
         self.route.repeat == Repeat::Safe
@@ -187,13 +185,13 @@
         sent_to: BTreeSet::new(),
         sends: 0,
         avoid: Vec::new(),
+        open: state.open_requests.begin(&ask.id, received),
         body: Bytes::new(),
         state: Arc::clone(state),
         directory,
         ask,
         head,
     };
-    state.on_request_start();
     state.with_budget(&job.service, |policy, budget| budget.on_new_request(policy));
     let mut job = job;
     job.body = read_body(&job, body, limit).await.map_err(fail)?;
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod front;
 mod handle;
 mod metrics;
+mod open;
 mod peers;
 mod placing;
 mod pool;
--- a/crates/catkinusherd/src/gateway/placing.rs
+++ b/crates/catkinusherd/src/gateway/placing.rs
@@ -138,10 +138,11 @@
 ///
 /// `describe` builds the ask for the present moment, with the upstreams to avoid
 /// in addition. The node is asked again while the request waits. If it does not
-/// answer, the next one is asked.
+/// answer, the next one is asked. `request` is the request ID, for the log.
 pub(super) async fn ask<D, F>(
     state: &Arc<State<D>>,
     cell: &Cell,
+    request: &str,
     describe: F,
 ) -> Result<Placed<D>, NotPlaced>
 where
@@ -151,6 +152,7 @@
     let mut open = OpenAsk::new(state);
     let mut unusable = Vec::new();
     let mut asked = 0;
+    let mut queued = false;
     // A cell that took over from the one that was asked first.
     let mut waits_at = None;
     'nodes: while asked < MAX_ASKED {
@@ -190,6 +192,10 @@
                         }
                         Reply::Overloaded(overload) => return Err(NotPlaced::Overloaded(overload)),
                         Reply::Waiting(from) => {
+                            if !std::mem::replace(&mut queued, true) {
+                                let at = from.unwrap_or(holder);
+                                info!(event = "placing", outcome = "waiting", request, node = %at);
+                            }
                             waiting = true;
                             if let Some(from) = from
                                 && from != holder
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -21,6 +21,7 @@
 use super::clock;
 use super::feeds::Feeds;
 use super::metrics::{GaugeValues, Metrics};
+use super::open::OpenRequests;
 use super::placing::Asks;
 use super::pool::Pool;
 use super::settings::Settings;
@@ -125,7 +126,7 @@
     budgets: Mutex<BTreeMap<ServiceId, Budget>>,
     pub(super) metrics: Metrics,
     ready: AtomicBool,
-    open_requests: AtomicU64,
+    pub(super) open_requests: OpenRequests,
 }
 
 impl<D> State<D> {
@@ -157,7 +158,7 @@
             budgets: Mutex::default(),
             metrics: Metrics::default(),
             ready: AtomicBool::new(false),
-            open_requests: AtomicU64::new(0),
+            open_requests: OpenRequests::default(),
         }
     }
 
@@ -294,24 +295,11 @@
             confirmed_age,
             upstreams: fleet.len(),
             nodes: self.roster().len(),
-            open_requests: self.open_requests(),
+            open_requests: self.open_requests.count() as u64,
         };
         drop(fleet);
         self.metrics.encode_text(&values)
     }
-
-    pub(super) fn on_request_start(&self) {
-        self.open_requests.fetch_add(1, Ordering::Relaxed);
-    }
-
-    pub(super) fn on_request_end(&self) {
-        self.open_requests.fetch_sub(1, Ordering::Relaxed);
-    }
-
-    /// The number of open requests.
-    pub(super) fn open_requests(&self) -> u64 {
-        self.open_requests.load(Ordering::Relaxed)
-    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/catkinusherd/src/gateway/stop.rs
+++ b/crates/catkinusherd/src/gateway/stop.rs
@@ -18,6 +18,9 @@
 /// The part of the grace period reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
+/// The maximum number of cut requests that are logged one by one.
+const MAX_CUT_LINES: usize = 64;
+
 /// Waits for SIGTERM or SIGINT, then lets open requests end within the grace period.
 ///
 /// # Errors
@@ -46,7 +49,7 @@
     info!(
         event = "stop",
         outcome = "begun",
-        under_way = state.open_requests()
+        under_way = state.open_requests.count()
     );
     state.stopping.cancel();
     state.timers.after(ACCEPT_AFTER_STOP).await;
@@ -54,8 +57,23 @@
     tokio::select! {
         ended = serving => ended.context("the task that serves callers failed")?,
         () = state.timers.at(limit) => {
-            warn!(event = "stop", outcome = "limit", under_way = state.open_requests());
+            warn!(event = "stop", outcome = "limit", under_way = state.open_requests.count());
+            log_cut_requests(state);
         }
     }
     Ok(())
 }
+
+/// Logs the requests that the end of the process cuts off.
+fn log_cut_requests<D>(state: &State<D>) {
+    for request in state.open_requests.oldest(MAX_CUT_LINES, state.now()) {
+        warn!(
+            event = "stop",
+            outcome = "cut",
+            request = request.id.to_str().unwrap_or("-"),
+            stage = request.stage.name(),
+            waited_ms = request.waited.as_millis() as u64,
+            ms = request.age.as_millis() as u64,
+        );
+    }
+}
