Answer every request that a stop would otherwise cut off

What callers saw: under planned work only, a node that stops closed the connection of a long prompt without an answer, 7.6 s after SIGTERM. Cause: the waits of a request end at the caller's deadline alone, and the process ends at the limit of its stop. A prompt of 300,000 tokens may wait 10 s for a placement, so a wait that begins around SIGTERM outlives the process; a request whose upstream does not begin to answer does so too. Class: a wait bounded by the caller's deadline but not by the lifetime of the process that waits. Change: the end of the grace is a deadline of each request. The time left and the patience that an ask states end there, so the placing node refuses what cannot be done by then and places early what can; a waiting ask takes over the shorter time from its repetition. 0.2 s before the limit, each request without a response gets an answer: 503 and a retry delay if it has not run, else 502. Bodies that are still arriving get one too.

--- a/crates/catkinusher-core/src/placer/mod.rs
+++ b/crates/catkinusher-core/src/placer/mod.rs
@@ -64,6 +64,16 @@
     repeated_at: Time,
 }
 
+impl Waiting {
+    /// Takes over the limits of a repetition, as a node that stops has less time than it had.
+    fn on_repeated(&mut self, ask: &Ask, now: Time) {
+        let queued = now.since(self.received_at).as_millis() as u64;
+        self.ask.left = self.ask.left.min(ask.left + queued);
+        self.ask.patience = self.ask.patience.min(ask.patience);
+        self.repeated_at = now;
+    }
+}
+
 /// The inputs of a decision besides the ask.
 #[derive(Debug)]
 pub struct Context<'a> {
@@ -100,7 +110,7 @@
         let now = context.now;
         let key = (asker, ask.number);
         if let Some(waiting) = self.waiting.get_mut(&key) {
-            waiting.repeated_at = now;
+            waiting.on_repeated(&ask, now);
             return answer(ask.number, Verdict::Waiting);
         }
         if let Some(cell) = self.better_cell(&ask, context) {
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -167,7 +167,7 @@
 where
     D: Dialect,
 {
-    /// Sends the request, with retries, until an upstream begins to answer.
+    /// Sends the request, with retries, until an upstream begins to answer or this node ends.
     ///
     /// # Errors
     ///
@@ -175,6 +175,17 @@
     pub(in crate::gateway) async fn send(
         &mut self,
         resume: Option<u64>,
+    ) -> Result<ActiveAttempt<D>, Refusal> {
+        let ending = self.state.ending.clone();
+        tokio::select! {
+            sent = self.send_with_retries(resume) => sent,
+            () = ending.cancelled() => Err(self.stop_refusal()),
+        }
+    }
+
+    async fn send_with_retries(
+        &mut self,
+        resume: Option<u64>,
     ) -> Result<ActiveAttempt<D>, Refusal> {
         let mut unsent_attempts = 0;
         loop {
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -29,6 +29,9 @@
 /// The retry delay given to callers while this node has no current configuration; another node may have one.
 const NO_CONFIGURATION_RETRY_AFTER: Span = Span::from_millis(200);
 
+/// The retry delay given to callers when this node stops; other nodes go on.
+const STOP_RETRY_AFTER: Span = Span::from_millis(100);
+
 /// The maximum size of an answer that is not streamed, in bytes; it is buffered whole, and a
 /// larger one counts as broken.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -55,7 +58,7 @@
     /// A caller that asks for a shorter timeout from the start counts as having waited, too.
     pub(super) prior_wait: Duration,
     /// How long the caller waits for the first part of an answer.
-    pub(super) patience: Duration,
+    patience: Duration,
     pub(super) history: AttemptHistory,
     /// The upstreams that the request was sent to.
     pub(super) sent_to: BTreeSet<UpstreamId>,
@@ -69,9 +72,21 @@
 where
     D: Dialect,
 {
-    /// The time left until the deadline.
+    /// The time left until the deadline, or until this node ends.
     pub(super) fn time_left(&self) -> Duration {
-        self.deadline.since(self.state.now())
+        let ends_at = self.state.ends_at().unwrap_or(Time::NEVER);
+        self.deadline.min(ends_at).since(self.state.now())
+    }
+
+    /// Whether this node ends before the deadline.
+    pub(super) fn is_cut_by_stop(&self) -> bool {
+        self.state.ends_at().is_some_and(|at| at < self.deadline)
+    }
+
+    /// How long the caller waits for the first part of an answer from this node.
+    pub(super) fn patience(&self) -> Duration {
+        let waited = self.state.now().since(self.received);
+        self.patience.min(waited + self.time_left())
     }
 
     /// Records what the request waits for, for the log of a stop.
@@ -89,8 +104,19 @@
         self.ask.id.to_str().unwrap_or("-")
     }
 
-    /// The refusal for a request whose deadline has passed.
+    /// The refusal for a request that this node cannot serve before it ends.
+    pub(super) fn stop_refusal(&self) -> Refusal {
+        let refusal = Refusal::ShuttingDown {
+            after: STOP_RETRY_AFTER,
+        };
+        refusal.with_outcome(self.history.outcome())
+    }
+
+    /// The refusal for a request that has no time left.
     pub(super) fn deadline_refusal(&self) -> Refusal {
+        if self.is_cut_by_stop() {
+            return self.stop_refusal();
+        }
         Refusal::DeadlinePassed {
             limit: Span::new(self.deadline.since(self.received)),
             outcome: self.history.outcome(),
@@ -224,6 +250,7 @@
         () = job.state.timers.at(job.deadline) => Err(Refusal::TooSlow {
             limit: Span::new(job.deadline.since(job.received)),
         }),
+        () = job.state.ending.cancelled() => Err(job.stop_refusal()),
     }
 }
 
@@ -294,6 +321,7 @@
         let whole = tokio::select! {
             whole = whole => whole.map_err(|error| error.to_string()),
             () = self.state.timers.at(self.deadline) => return Err(Some(self.deadline_refusal())),
+            () = self.state.ending.cancelled() => return Err(Some(self.stop_refusal())),
         };
         drop(resources);
         match whole {
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -105,6 +105,10 @@
     pub(super) stopping: CancellationToken,
     /// Cancelled when new connections are no longer accepted.
     pub(super) closing: CancellationToken,
+    /// Cancelled when the requests that wait for a response are answered, as the process is about to end.
+    pub(super) ending: CancellationToken,
+    /// When `ending` will be cancelled, once a stop has begun.
+    ends_at: OnceLock<Time>,
     /// Notified when the load that this node causes has changed.
     pub(super) load_changed: Notify,
     pub(super) notifiers: Notifiers,
@@ -150,6 +154,8 @@
             pool: Pool::default(),
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
+            ending: CancellationToken::new(),
+            ends_at: OnceLock::new(),
             load_changed: Notify::new(),
             notifiers: Notifiers::default(),
             confirmer: Mutex::new(confirmer),
@@ -264,6 +270,18 @@
         freshness.within(self.settings.trust, now)
     }
 
+    /// Begins a stop in which requests are answered until `ends_at`.
+    pub(super) fn begin_stop(&self, ends_at: Time) {
+        // A process stops once.
+        let _first = self.ends_at.set(ends_at);
+        self.stopping.cancel();
+    }
+
+    /// When this node stops to wait for responses, if a stop has begun.
+    pub(super) fn ends_at(&self) -> Option<Time> {
+        self.ends_at.get().copied()
+    }
+
     /// Whether the load balancer should send requests to this node.
     pub(super) fn is_ready(&self) -> bool {
         let now = clock::boot_time();
--- a/crates/catkinusherd/src/gateway/stop.rs
+++ b/crates/catkinusherd/src/gateway/stop.rs
@@ -18,6 +18,9 @@
 /// The part of the grace period reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
+/// The time to write the answers to requests that are still without a response.
+const ANSWER_RESERVE: Duration = Duration::from_millis(200);
+
 /// The maximum number of cut requests that are logged one by one.
 const MAX_CUT_LINES: usize = 64;
 
@@ -28,7 +31,7 @@
 /// If a signal handler cannot be installed.
 pub(super) async fn drain_on_signal<D>(
     state: &Arc<State<D>>,
-    serving: JoinHandle<()>,
+    mut serving: JoinHandle<()>,
 ) -> anyhow::Result<()>
 where
     D: Dialect,
@@ -51,9 +54,21 @@
         outcome = "begun",
         under_way = state.open_requests.count()
     );
-    state.stopping.cancel();
-    state.timers.after(ACCEPT_AFTER_STOP).await;
+    let ends_at = stopped_at
+        + state
+            .settings
+            .grace
+            .saturating_sub(EXIT_RESERVE + ANSWER_RESERVE);
+    state.begin_stop(ends_at);
+    state
+        .timers
+        .at(ends_at.min(stopped_at + ACCEPT_AFTER_STOP))
+        .await;
     state.closing.cancel();
+    tokio::select! {
+        ended = &mut serving => return ended.context("the task that serves callers failed"),
+        () = state.timers.at(ends_at) => state.ending.cancel(),
+    }
     tokio::select! {
         ended = serving => ended.context("the task that serves callers failed")?,
         () = state.timers.at(limit) => {
