Refuse prompts that a stopping node cannot serve instead of placing them early

A prompt whose node stops was placed on busy engines before its turn, and could then be cut. Cause: the patience of a waiting prompt was shortened to the end of the node, and the patience decides when a prompt is placed although engines are busy. Change: only the time left is shortened, so the prompt keeps its turn and is refused, with 503 and a retry delay, as soon as it cannot end in time. Upstreams are told the caller's deadline again, as the stop of a node is no reason for them to end a stream; a retry that the node cannot live to see is not authorized. A process that was held up across the end of its grace still gets 0.2 s to write its answers.

--- a/crates/catkinusher-core/src/placer/mod.rs
+++ b/crates/catkinusher-core/src/placer/mod.rs
@@ -65,11 +65,10 @@
 }
 
 impl Waiting {
-    /// Takes over the limits of a repetition, as a node that stops has less time than it had.
+    /// Takes over the time left from a repetition, as a node that stops has less than it had.
     fn on_repeated(&mut self, ask: &Ask, now: Time) {
         let queued = now.since(self.received_at).as_millis() as u64;
         self.ask.left = self.ask.left.min(ask.left + queued);
-        self.ask.patience = self.ask.patience.min(ask.patience);
         self.repeated_at = now;
     }
 }
--- a/crates/catkinusher-core/tests/placer.rs
+++ b/crates/catkinusher-core/tests/placer.rs
@@ -232,18 +232,18 @@
 fn a_waiting_prompt_whose_node_stops_is_refused_while_others_wait() {
     let mut node = Node::new(vec![upstream(0)]);
     // One engine alone would prefill it for longer than a waiting prompt accepts.
-    let long = |left, patience| Ask {
+    let long = |left| Ask {
         objective: 3000,
-        patience,
+        patience: 12_000,
         left,
         ..ask(1, whole(), 180_000)
     };
     for from in [1, 2] {
-        let answer = verdict(node.on_ask(from, long(15_000, 12_000), ms(0)));
+        let answer = verdict(node.on_ask(from, long(15_000), ms(0)));
         assert_eq!(answer, Verdict::Waiting);
     }
     // Node 1 has begun to stop.
-    let repeated = long(1000, 1250);
+    let repeated = long(1000);
     assert_eq!(verdict(node.on_ask(1, repeated, ms(250))), Verdict::Waiting);
     let answers = node.poll(ms(275));
     assert!(
--- a/crates/catkinusherd/src/gateway/attempt/judge.rs
+++ b/crates/catkinusherd/src/gateway/attempt/judge.rs
@@ -107,7 +107,7 @@
             failed_upstreams: self.avoid.clone(),
             retry_after: None,
             min_attempt: Span::new(MIN_ATTEMPT_TIME),
-            deadline: self.deadline,
+            deadline: self.ends_at(),
         };
         let now = self.state.now();
         let decision = self.state.with_budget(&self.service, |policy, budget| {
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -285,7 +285,9 @@
                 "upstream or configuration no longer usable".to_owned(),
             ));
         }
-        let request = self.build_request(upstream, left, &helpers, resume);
+        // A stop of this node is no reason for the upstream to end its work before the caller's deadline.
+        let timeout = self.deadline.since(self.state.now());
+        let request = self.build_request(upstream, timeout, &helpers, resume);
         self.history.on_evidence(Evidence::Leaving);
         let first = self.sent_to.insert(upstream.clone());
         self.sends += 1;
--- a/crates/catkinusherd/src/gateway/attempt/turn.rs
+++ b/crates/catkinusherd/src/gateway/attempt/turn.rs
@@ -95,7 +95,7 @@
             answer: self.ask.answer,
             objective: millis(self.route.objective),
             age: millis(self.prior_wait + waited),
-            patience: millis(self.patience()),
+            patience: millis(self.patience),
             waited: millis(waited),
             left: millis(self.time_left()),
             avoid,
@@ -115,7 +115,7 @@
             Overload::TooLong => self
                 .history
                 .refusal_after_attempts(full(NO_UPSTREAM_RETRY_AFTER)),
-            Overload::Late(_) if self.is_cut_by_stop() => self.stop_refusal(),
+            Overload::Late(_) if self.outlives_node() => self.stop_refusal(),
             Overload::Late(needs) => self.history.refusal_after_attempts(Refusal::TooLate {
                 predicted: Span::new(needs),
                 left: Span::new(self.time_left()),
@@ -135,7 +135,7 @@
             answer: self.ask.answer,
             objective: self.route.objective,
             age: self.prior_wait + self.state.now().since(self.received),
-            patience: self.patience(),
+            patience: self.patience,
             waited: self.state.now().since(self.received),
             time_left: self.time_left(),
             avoid: self.avoid.clone(),
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -58,7 +58,7 @@
     /// A caller that asks for a shorter timeout from the start counts as having waited, too.
     pub(super) prior_wait: Duration,
     /// How long the caller waits for the first part of an answer.
-    patience: Duration,
+    pub(super) patience: Duration,
     pub(super) history: AttemptHistory,
     /// The upstreams that the request was sent to.
     pub(super) sent_to: BTreeSet<UpstreamId>,
@@ -72,23 +72,22 @@
 where
     D: Dialect,
 {
-    /// The time left until the deadline, or until this node ends.
+    /// When this node gives the request up: at the deadline, or when it ends.
+    pub(super) fn ends_at(&self) -> Time {
+        let node_ends = self.state.ends_at().unwrap_or(Time::NEVER);
+        self.deadline.min(node_ends)
+    }
+
+    /// The time left until this node gives the request up.
     pub(super) fn time_left(&self) -> Duration {
-        let ends_at = self.state.ends_at().unwrap_or(Time::NEVER);
-        self.deadline.min(ends_at).since(self.state.now())
+        self.ends_at().since(self.state.now())
     }
 
     /// Whether this node ends before the deadline.
-    pub(super) fn is_cut_by_stop(&self) -> bool {
+    pub(super) fn outlives_node(&self) -> bool {
         self.state.ends_at().is_some_and(|at| at < self.deadline)
     }
 
-    /// How long the caller waits for the first part of an answer from this node.
-    pub(super) fn patience(&self) -> Duration {
-        let waited = self.state.now().since(self.received);
-        self.patience.min(waited + self.time_left())
-    }
-
     /// Records what the request waits for, for the log of a stop.
     pub(super) fn enter(&self, stage: Stage) {
         self.open.enter(stage, self.state.now());
@@ -114,7 +113,7 @@
 
     /// The refusal for a request that has no time left.
     pub(super) fn deadline_refusal(&self) -> Refusal {
-        if self.is_cut_by_stop() {
+        if self.outlives_node() {
             return self.stop_refusal();
         }
         Refusal::DeadlinePassed {
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -101,7 +101,7 @@
     pub(super) dialect: D,
     pub(super) timers: Timers,
     pub(super) pool: Pool,
-    /// Cancelled when a stop begins; the node then reports itself unready.
+    /// Cancelled when a stop begins, before `closing` and `ending`; the node then reports itself unready.
     pub(super) stopping: CancellationToken,
     /// Cancelled when new connections are no longer accepted.
     pub(super) closing: CancellationToken,
@@ -272,8 +272,8 @@
 
     /// Begins a stop in which requests are answered until `ends_at`.
     pub(super) fn begin_stop(&self, ends_at: Time) {
-        // A process stops once.
-        let _first = self.ends_at.set(ends_at);
+        // Signals after the first are ignored, so it is set only once.
+        let _set = self.ends_at.set(ends_at);
         self.stopping.cancel();
     }
 
--- a/crates/catkinusherd/src/gateway/stop.rs
+++ b/crates/catkinusherd/src/gateway/stop.rs
@@ -69,6 +69,7 @@
         ended = &mut serving => return ended.context("the task that serves callers failed"),
         () = state.timers.at(ends_at) => state.ending.cancel(),
     }
+    let limit = limit.max(state.now() + ANSWER_RESERVE);
     tokio::select! {
         ended = serving => ended.context("the task that serves callers failed")?,
         () = state.timers.at(limit) => {
