Log the shared parts of prompts that an upstream broke off

Cause: not mended here. Change: the adapter parses the parts of a prompt that others may share, and a line `broken-off` names them when the connection to an upstream breaks before the request is answered on it.

--- a/crates/catkinusher-core/src/id/mod.rs
+++ b/crates/catkinusher-core/src/id/mod.rs
@@ -130,6 +130,10 @@
     /// A model that engines load.
     ModelId
 }
+name! {
+    /// A part of a prompt that several requests may share, such as a document.
+    PartId
+}
 name! {
     /// A request ID, unique in the fleet; assigned by the node that accepted the request.
     RequestId
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -314,6 +314,7 @@
                     }
                     return Err(AttemptError::Unsent(detail));
                 }
+                self.on_broken_off_unanswered(upstream);
                 return Err(AttemptError::Lost(Fault::Broken, detail));
             }
         };
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use catkinusher_core::directory::Directory;
 use catkinusher_core::fleet::Upstream;
-use catkinusher_core::id::{CustomerId, UpstreamId};
+use catkinusher_core::id::{CustomerId, PartId, UpstreamId};
 use catkinusher_core::units::Tokens;
 use catkinusher_platform::form::Form;
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -28,6 +28,8 @@
     pub answer: Tokens,
     /// The ID of the last event that the caller received; the stream resumes after it.
     pub resume: Option<u64>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<PartId>,
 }
 
 /// A request head that cannot be parsed.
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -318,7 +318,7 @@
         let (head, body) = response.into_parts();
         let whole = Limited::new(body, MAX_ANSWER_BYTES).collect();
         let whole = tokio::select! {
-            whole = whole => whole.map_err(|error| error.to_string()),
+            whole = whole => whole,
             () = self.state.timers.at(self.deadline) => return Err(Some(self.deadline_refusal())),
             () = self.state.ending.cancelled() => return Err(Some(self.stop_refusal())),
         };
@@ -336,7 +336,11 @@
                 strip_hop_headers(&mut headers);
                 Ok((upstream, head.status, headers, whole.to_bytes()))
             }
-            Err(detail) => {
+            Err(error) => {
+                if !error.is::<LengthLimitError>() {
+                    self.on_broken_off_unanswered(&upstream);
+                }
+                let detail = error.to_string();
                 self.record_fault(&upstream, address, Fault::Broken, &detail);
                 match self.authorize_retry(&upstream) {
                     Ok(()) => Err(None),
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -51,7 +51,10 @@
     ClientLeft,
     DeadlinePassed,
     Stalled,
-    Lost(String),
+    /// The upstream broke the stream off.
+    BrokenOff(String),
+    /// The upstream sent events that cannot be forwarded.
+    Malformed(String),
 }
 
 /// Answers with a stream whose events are forwarded as they arrive.
@@ -89,6 +92,7 @@
         } else {
             stall_timeout(&job)
         };
+        let last_event = arrivals.last;
         let end = forward_events(
             &job,
             &mut attempt,
@@ -98,6 +102,9 @@
             stall_timeout,
         )
         .await;
+        if matches!(end, StreamEnd::BrokenOff(_)) && arrivals.last == last_event {
+            job.on_broken_off_unanswered(&upstream);
+        }
         match end {
             StreamEnd::Whole => {
                 let now = job.state.now();
@@ -130,7 +137,7 @@
                     Ok(_) | Err(_) => ignore_stalls = true,
                 }
             }
-            StreamEnd::Lost(detail) => {
+            StreamEnd::BrokenOff(detail) | StreamEnd::Malformed(detail) => {
                 drop(attempt);
                 job.record_fault(&upstream, address, Fault::Broken, &detail);
                 events.discard_partial();
@@ -192,7 +199,7 @@
                 Some(Ok(bytes)) => {
                     let whole = match events.push(&bytes) {
                         Ok(whole) => whole,
-                        Err(fault) => return StreamEnd::Lost(fault.to_string()),
+                        Err(fault) => return StreamEnd::Malformed(fault.to_string()),
                     };
                     if whole.is_empty() {
                         continue;
@@ -204,9 +211,9 @@
                         return StreamEnd::ClientLeft;
                     }
                 }
-                Some(Err(error)) => return StreamEnd::Lost(error.to_string()),
+                Some(Err(error)) => return StreamEnd::BrokenOff(error.to_string()),
                 None if events.is_at_boundary() => return StreamEnd::Whole,
-                None => return StreamEnd::Lost("stream ended within an event".to_owned()),
+                None => return StreamEnd::BrokenOff("stream ended within an event".to_owned()),
             },
             () = caller.closed() => return StreamEnd::ClientLeft,
             () = stall_timer.as_mut() => {
