Break off unframed streams that end before their first event

What callers saw: a server that sends the head of a stream with neither a length nor chunks, and closes, gave its caller an empty stream that looked complete. Cause: a stream was whole when it ended between two events; before the first one that holds without any event, and the end of a connection is the only sign of its end. Ruled out: framed streams, whose end the framing proves. Change: such a stream counts as broken off, so it is resumed elsewhere or interrupted, and the server gets a fault rather than a success.

--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 use catkinusher_core::fleet::Fault;
 use catkinusher_core::time::Time;
 use http::Response;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -190,6 +191,9 @@
     D: Dialect,
 {
     let timers = job.state.timers.clone();
+    let headers = attempt.response.headers();
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let begun = arrivals.last;
     // A server that stalls may send a byte now and then, so only whole events count.
     let mut last_event = job.state.now();
     let mut stall_timer = std::pin::pin!(timers.at((last_event + stall_timeout).min(job.deadline)));
@@ -212,6 +216,10 @@
                     }
                 }
                 Some(Err(error)) => return StreamEnd::BrokenOff(error.to_string()),
+                // The end of a connection alone does not prove that a stream without events is complete.
+                None if arrivals.last == begun && !is_framed => {
+                    return StreamEnd::BrokenOff("stream ended before its first event".to_owned());
+                }
                 None if events.is_at_boundary() => return StreamEnd::Whole,
                 None => return StreamEnd::BrokenOff("stream ended within an event".to_owned()),
             },
