End the reading of bodies when a stop reaches its limit

What callers saw: on the product's own interface, a caller that was still sending its body when a node reached its stop limit got no answer, and the process went on until the body was complete or the caller was silent for `limits.idle`. Cause: the same class as the requests without an answer at a planned stop. Both handlers read the body before the select that watches the abort of all requests; a body that was complete just after it could even begin an attempt, as the select polls its branches in random order. Change: one function reads a body for both handlers and ends with the abort; the selects poll the abort first. Conclusion: a head that is still arriving, and a caller that does not read, still hold up a stop of the own interface.

--- a/crates/catkinusherd/src/forward/mod.rs
+++ b/crates/catkinusherd/src/forward/mod.rs
@@ -13,13 +13,14 @@
 use catkinusher_core::cost::TokenEstimator;
 use catkinusher_core::id::{ModelId, RequestId, ServiceId};
 use catkinusher_core::inventory::Customer;
-use catkinusher_core::outcome::Refusal;
+use catkinusher_core::outcome::{Outcome, Refusal};
 use catkinusher_core::retry::{self, Decision, Failure};
 use catkinusher_core::units::{Bytes, Tokens};
+use hyper::body::Incoming;
 use tracing::info;
 
 use crate::explain::Step;
-use crate::front::intake::BodyError;
+use crate::front::intake::{BodyError, RequestBody};
 use crate::node::{OpenRequest, State};
 use crate::settings::Limits;
 
@@ -51,6 +52,19 @@
         self.state.journal.record(&self.id, step);
     }
 
+    /// Buffers what is needed of the body, unless the node reaches its stop limit before that.
+    async fn read_body(&self, body: Incoming) -> Result<RequestBody, Refusal> {
+        let state = &self.state;
+        let limits = &state.settings.limits;
+        tokio::select! {
+            biased;
+            () = state.abort_requests.cancelled() => Err(Refusal::StopLimit { outcome: Outcome::NotRun }),
+            read = RequestBody::read(body, limits, &state.retained_bodies) => {
+                read.map_err(|error| body_refusal(error, limits))
+            }
+        }
+    }
+
     /// Waits until the next attempt, or returns the last attempt's refusal if there is none.
     async fn wait_for_retry(
         &self,
--- a/crates/catkinusherd/src/forward/model.rs
+++ b/crates/catkinusherd/src/forward/model.rs
@@ -23,7 +23,7 @@
 use super::attempt::{Attempt, AttemptResult};
 use super::group::{self, Leases, OtherMembers};
 use super::sink::ResponseSink;
-use super::{RequestContext, body_refusal, refusal_step};
+use super::{RequestContext, refusal_step};
 use crate::explain::Step;
 use crate::front::fields::{self, Fields};
 use crate::front::head;
@@ -50,11 +50,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let (parts, body) = request.into_parts();
-    let state = &context.state;
-    let limits = &state.settings.limits;
-    let request_body = RequestBody::read(body, limits, &state.retained_bodies)
-        .await
-        .map_err(|error| body_refusal(error, limits))?;
+    let request_body = context.read_body(body).await?;
     let buffered = request_body.buffered();
     let fields = fields::read(&buffered, request_body.is_fully_buffered()).map_err(|error| {
         Refusal::BadBody {
@@ -159,9 +155,11 @@
         let state = Arc::clone(&self.context.state);
         let deadline = self.ask.deadline;
         let failure = tokio::select! {
+            // No attempt begins once the requests are aborted.
+            biased;
+            () = state.abort_requests.cancelled() => None,
             ended = self.attempts(&mut sink) => ended.err(),
             () = state.timers.at(deadline) => None,
-            () = state.abort_requests.cancelled() => None,
         };
         match failure {
             Some(refusal) => {
--- a/crates/catkinusherd/src/forward/plain/job.rs
+++ b/crates/catkinusherd/src/forward/plain/job.rs
@@ -58,9 +58,11 @@
         let state = Arc::clone(&self.context.state);
         let deadline = self.call.ask.deadline;
         let failure = tokio::select! {
+            // No attempt begins once the requests are aborted.
+            biased;
+            () = state.abort_requests.cancelled() => Some(Refusal::StopLimit { outcome: Outcome::NotRun }),
             ended = self.claim_and_run(&mut sink) => ended.err(),
             () = state.timers.at(deadline) => Some(self.deadline_passed()),
-            () = state.abort_requests.cancelled() => Some(Refusal::StopLimit { outcome: Outcome::NotRun }),
         };
         let Some(refusal) = failure else {
             info!(request = %self.context.id, "front: done");
--- a/crates/catkinusherd/src/forward/plain/mod.rs
+++ b/crates/catkinusherd/src/forward/plain/mod.rs
@@ -20,11 +20,10 @@
 use hyper::body::Incoming;
 
 use self::job::Job;
+use super::RequestContext;
 use super::admit::AdmissionGuard;
 use super::sink::ResponseSink;
-use super::{RequestContext, body_refusal};
 use crate::front::head::{self, IDEMPOTENCY_KEY_HEADER};
-use crate::front::intake::RequestBody;
 use crate::front::reply::ResponseBody;
 use crate::front::route::allowed;
 
@@ -49,9 +48,7 @@
     let state = Arc::clone(&context.state);
     let limits = &state.settings.limits;
     let call = Call::new(&context, parts, service, rest)?;
-    let request_body = RequestBody::read(body, limits, &state.retained_bodies)
-        .await
-        .map_err(|error| body_refusal(error, limits))?;
+    let request_body = context.read_body(body).await?;
     if call.key.is_some() && !request_body.is_fully_buffered() {
         return Err(Refusal::BodyTooLarge { limit: limits.keep });
     }
