Quarantine prompt parts and requests that crash upstreams, on the gateway

Cause: the gateway had no quarantine. The core's one knows whole requests and needs an owner that sees all requests of an upstream; here no node does, no two of the requests are alike, and the deadly part shares its caller and its other parts with sound ones. Class: a safeguard that one interface has and the other was built without. Ruled out: our own retries, which add a third to the sends and not the cause; a second killer, as no crash but those by chance came without a poisoned request. Change: a detector in the core finds the content by elimination over all nodes, as docs/design/outcomes.md tells. A node reports the content of requests that broke off unanswered to two nodes; content in three crashes apart from each other is condemned unless any node saw it answered lately. What is condemned is told to all nodes, kept in the store, and refused at once with 503, `not-run` and the time that is left. It also holds for a request as a whole that comes again. Messages are few unless content is suspected; a node that starts reads the list before it is ready.

--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -88,6 +88,9 @@
     pub drained: Version,
     /// The version of the newest change to the registered nodes.
     pub nodes: Version,
+    /// The version of the newest change to the quarantine.
+    #[serde(default)]
+    pub quarantine: Version,
 }
 
 /// An action for the caller of [`Confirmer::poll`].
--- a/crates/catkinusher-core/src/outcome/refusal.rs
+++ b/crates/catkinusher-core/src/outcome/refusal.rs
@@ -204,6 +204,12 @@
         /// Time until the quarantine ends.
         left: Span,
     },
+    /// Part of the request's content, or all of it, crashed upstreams in other requests.
+    #[error("some of this request's content made upstreams crash and is refused for {left}")]
+    QuarantinedContent {
+        /// Time until the quarantine ends.
+        left: Span,
+    },
     /// The node is stopping.
     #[error("the node is stopping")]
     ShuttingDown {
@@ -283,6 +289,9 @@
             Self::KeyUnsettled => spec("key-unsettled", "Key not settled", 409, Key),
             Self::AnswerNotKept => spec("answer-not-kept", "Answer not kept", 409, Key),
             Self::Quarantined { .. } => spec("quarantined", "Quarantined", 422, Request),
+            Self::QuarantinedContent { .. } => {
+                spec("quarantined-content", "Content quarantined", 503, Request)
+            }
             Self::ShuttingDown { .. } => spec("shutting-down", "Node stopping", 503, Leaving),
             Self::StopLimit { .. } => spec("stop-limit", "Node stopped", 503, Leaving),
             Self::Drained { .. } => spec("drained", "Service drained", 503, Leaving),
@@ -359,6 +368,7 @@
             | Self::KeyBusy { after }
             | Self::ShuttingDown { after }
             | Self::NoConfiguration { after } => Some(*after),
+            Self::QuarantinedContent { left } => Some(*left),
             _ => None,
         }
     }
--- /dev/null
+++ b/crates/catkinusher-core/src/poison/detector.rs
@@ -0,0 +1,163 @@
+//! Detection of content that crashes upstreams where no node sees all requests of an upstream.
+
+use std::time::Duration;
+
+use super::suspects::{Cleared, CrashReport, Findings, Suspects};
+use super::{CrashScore, Policy, Quarantine, QuarantineEntry, Verdict};
+use crate::fingerprint::Fingerprint;
+use crate::time::Time;
+use crate::units::Span;
+
+/// Finds by elimination which content of requests crashes upstreams.
+///
+/// The content of a request is whatever others may have in common with it: each
+/// shared part of its prompt, and the request as a whole. An upstream that crashes
+/// breaks off all its requests, so the content of those that it had not begun to
+/// answer is reported to one or two nodes that carry this duty. Content in several
+/// crashes is suspected, and condemned unless a node knows a request with it that
+/// was answered. The parts that a deadly request shares with sound ones are cleared
+/// by these (see [docs/design/outcomes.md](../../../../docs/design/outcomes.md)).
+#[derive(Debug, Clone, Default)]
+pub struct Detector {
+    policy: Policy,
+    quarantine: Quarantine,
+    suspects: Suspects,
+    cleared: Cleared,
+}
+
+impl Detector {
+    /// Creates a detector that knows no content.
+    #[must_use]
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            quarantine: Quarantine::new(policy),
+            ..Self::default()
+        }
+    }
+
+    /// The time for which a request with this content is refused, if any of it is in quarantine.
+    #[must_use]
+    pub fn refused_for(&self, content: &[Fingerprint], now: Time) -> Option<Span> {
+        let left = |one: &Fingerprint| match self.quarantine.check(*one, now) {
+            Verdict::Refuse { left } => Some(left),
+            Verdict::Run | Verdict::Isolated => None,
+        };
+        content.iter().filter_map(left).max()
+    }
+
+    /// Records that a request with this content was answered, which clears it.
+    pub fn on_answered(&mut self, content: &[Fingerprint], now: Time) {
+        for one in content {
+            self.suspects.remove(*one);
+            self.cleared.insert(*one, now);
+        }
+    }
+
+    /// The report for a request with this content that broke off unanswered, unless all of it is
+    /// known to be sound.
+    #[must_use]
+    pub fn report(
+        &self,
+        upstream: u32,
+        request: u64,
+        content: &[Fingerprint],
+        now: Time,
+    ) -> Option<CrashReport> {
+        let unknown = content.iter().filter(|one| !self.is_settled(**one, now));
+        let content: Vec<Fingerprint> = unknown.copied().collect();
+        (!content.is_empty()).then_some(CrashReport {
+            upstream,
+            request,
+            content,
+        })
+    }
+
+    fn is_settled(&self, content: Fingerprint, now: Time) -> bool {
+        self.cleared.contains(content, now) || self.refused_for(&[content], now).is_some()
+    }
+
+    /// Records a report of a node.
+    pub fn on_report(&mut self, report: &CrashReport, now: Time) {
+        let CrashReport {
+            upstream,
+            request,
+            content,
+        } = report;
+        let content: Vec<_> = content
+            .iter()
+            .copied()
+            .filter(|one| !self.is_settled(*one, now))
+            .collect();
+        self.suspects
+            .on_crash(content.into_iter(), *upstream, *request, now);
+    }
+
+    /// The content that this node knows to be sound, as the answer to an inquiry.
+    #[must_use]
+    pub fn cleared_among(&self, content: &[Fingerprint], now: Time) -> Vec<Fingerprint> {
+        let known = content.iter().copied();
+        known
+            .filter(|one| self.cleared.contains(*one, now))
+            .collect()
+    }
+
+    /// Whether inquiries are due, so that [`poll`](Self::poll) has to be called.
+    #[must_use]
+    pub fn has_suspected(&self) -> bool {
+        self.suspects.has_suspected()
+    }
+
+    /// Decides on the suspected content, and puts the condemned into quarantine.
+    pub fn poll(&mut self, now: Time) -> Findings {
+        let findings = self.suspects.poll(self.policy.suspicion.get(), now);
+        let condemned = findings.condemned.iter();
+        let entries: Vec<_> = condemned
+            .map(|(content, crashes)| self.entry(*content, *crashes, self.policy.quarantine.get()))
+            .collect();
+        self.quarantine.merge(&entries, now);
+        findings
+    }
+
+    /// The quarantine entry of content that crashed upstreams, with the time that is left of it.
+    #[must_use]
+    pub fn entry(&self, content: Fingerprint, crashes: u32, left: Duration) -> QuarantineEntry {
+        QuarantineEntry {
+            fingerprint: content,
+            blamed: CrashScore::of_crashes(crashes),
+            pardoned: CrashScore::ZERO,
+            life: Span::new(left),
+        }
+    }
+
+    /// Takes over entries that another node or the store has, and returns those that are new.
+    pub fn on_entries(&mut self, entries: &[QuarantineEntry], now: Time) -> Vec<Fingerprint> {
+        let contents = entries.iter().map(|entry| entry.fingerprint);
+        let new: Vec<_> = contents
+            .filter(|one| self.refused_for(&[*one], now).is_none())
+            .collect();
+        for entry in entries {
+            self.suspects.remove(entry.fingerprint);
+        }
+        self.quarantine.on_time(now);
+        self.quarantine.merge(entries, now);
+        new
+    }
+
+    /// Releases content whose entry an operator has removed.
+    pub fn release(&mut self, content: Fingerprint) -> bool {
+        self.quarantine.remove(content)
+    }
+
+    /// The number of quarantined contents.
+    #[must_use]
+    pub fn quarantined(&self) -> usize {
+        self.quarantine.len()
+    }
+
+    /// The time for which condemned content is refused.
+    #[must_use]
+    pub const fn quarantine_time(&self) -> Duration {
+        self.policy.quarantine.get()
+    }
+}
--- a/crates/catkinusher-core/src/poison/entry.rs
+++ b/crates/catkinusher-core/src/poison/entry.rs
@@ -35,6 +35,12 @@
         Self(if part == 0 { 1 } else { part })
     }
 
+    /// The score of this number of whole crashes.
+    #[must_use]
+    pub const fn of_crashes(crashes: u32) -> Self {
+        Self(Self::ONE_CRASH.0 * crashes as u64)
+    }
+
     /// Whether the score exceeds one whole crash, which is unlikely to be coincidence.
     #[must_use]
     pub const fn is_conclusive(self) -> bool {
--- a/crates/catkinusher-core/src/poison/mod.rs
+++ b/crates/catkinusher-core/src/poison/mod.rs
@@ -4,8 +4,14 @@
 //! requests are suspects and run alone on an upstream from then on. A suspect
 //! that crashes an upstream while running alone is proven to be the cause, and
 //! every node refuses it until its entry expires.
+//!
+//! Where no node knows all requests of an upstream, a [`Detector`] finds the cause
+//! by elimination.
 
+mod content;
+mod detector;
 mod entry;
+mod suspects;
 
 use std::collections::BTreeMap;
 use std::hash::Hasher as _;
@@ -13,8 +19,11 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3Default;
 
+pub use self::content::Content;
+pub use self::detector::Detector;
 use self::entry::Entry;
 pub use self::entry::{CrashScore, QuarantineEntry};
+pub use self::suspects::{CrashReport, Findings, INQUIRY_INTERVAL};
 use crate::fingerprint::Fingerprint;
 use crate::time::Time;
 use crate::units::Span;
@@ -124,6 +133,11 @@
         }
     }
 
+    /// Removes an entry, and returns whether there was one.
+    pub fn remove(&mut self, fingerprint: Fingerprint) -> bool {
+        self.entries.remove(&fingerprint).is_some()
+    }
+
     /// Removes expired entries.
     pub fn on_time(&mut self, now: Time) {
         self.entries.retain(|_, entry| entry.expires_at > now);
--- a/crates/catkinusher-core/src/roster/mod.rs
+++ b/crates/catkinusher-core/src/roster/mod.rs
@@ -188,6 +188,12 @@
         }
     }
 
+    /// The addresses of all other registered nodes.
+    #[must_use]
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.entries.keys().copied().collect()
+    }
+
     /// The number of registered nodes, including this one.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -329,6 +329,7 @@
             upstreams: Version::NONE,
             drained: Version::NONE,
             nodes: Version::NONE,
+            quarantine: Version::NONE,
         },
     };
     assert_eq!(
--- /dev/null
+++ b/crates/catkinusher-core/tests/detector.rs
@@ -0,0 +1,366 @@
+//! Which content is condemned, in a fleet whose nodes see only their own requests.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use catkinusher_core::fingerprint::Fingerprint;
+use catkinusher_core::poison::{Content, CrashReport, Detector, Policy, QuarantineEntry};
+use catkinusher_core::time::Time;
+use catkinusher_core::units::Span;
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const NODES: usize = 40;
+const ENGINES: u32 = 20;
+
+/// The nodes that collect reports.
+const COLLECTORS: [usize; 2] = [3, 17];
+
+/// One message in this many is lost.
+const LOSS: u32 = 50;
+
+/// The steps until all nodes have read an entry from the store, or from a node that has.
+const READ_STEPS: u64 = 75;
+
+/// The duration of one step.
+const STEP: Duration = Duration::from_millis(20);
+
+fn ms(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+fn part(name: &str) -> Fingerprint {
+    Fingerprint::of([name.as_bytes()])
+}
+
+fn report(upstream: u32, request: u64, content: &[Fingerprint]) -> CrashReport {
+    CrashReport {
+        upstream,
+        request,
+        content: content.to_vec(),
+    }
+}
+
+/// Reports crashes on different upstreams at these times and asks no node, and returns what is condemned.
+fn judge(detector: &mut Detector, crashes: &[(u64, u64)], content: &[Fingerprint]) -> usize {
+    let mut condemned = 0;
+    let mut now = 0;
+    for (upstream, (at, request)) in crashes.iter().enumerate() {
+        now = *at;
+        detector.on_report(&report(upstream as u32, *request, content), ms(now));
+    }
+    for _ in 0..10 {
+        condemned += detector.poll(ms(now)).condemned.len();
+        now += 100;
+    }
+    condemned
+}
+
+#[test]
+fn three_crashes_apart_condemn_content_for_the_quarantine() {
+    let mut detector = Detector::new(Policy::default());
+    let dead = [part("dead")];
+    detector.on_report(&report(1, 1, &dead), ms(0));
+    detector.on_report(&report(2, 2, &dead), ms(300));
+    // Another node was slower to see the same crash.
+    detector.on_report(&report(2, 3, &dead), ms(1200));
+    assert!(!detector.has_suspected());
+    detector.on_report(&report(3, 4, &dead), ms(4000));
+    assert!(detector.has_suspected());
+    let rounds: Vec<(usize, usize)> = [4000, 4050, 4100, 4200, 4300]
+        .map(|at| {
+            let findings = detector.poll(ms(at));
+            (findings.suspected.len(), findings.condemned.len())
+        })
+        .to_vec();
+    assert_eq!(rounds, [(1, 0), (0, 0), (1, 0), (1, 0), (0, 1)]);
+    let left = detector.refused_for(&dead, ms(4300));
+    assert_eq!(left, Some(Span::from_secs(3600)));
+    assert_eq!(detector.refused_for(&dead, ms(4300 + 3_600_000)), None);
+}
+
+#[test]
+fn crashes_at_the_same_moment_condemn_nothing() {
+    let mut detector = Detector::new(Policy::default());
+    let content = [part("a")];
+    let crashes: Vec<(u64, u64)> = (0..12).map(|number| (number * 10, number)).collect();
+    assert_eq!(judge(&mut detector, &crashes, &content), 0);
+}
+
+#[test]
+fn one_request_that_is_retried_condemns_nothing() {
+    let mut detector = Detector::new(Policy::default());
+    let content = [part("a")];
+    let crashes = [(0, 7), (400, 7), (800, 7), (1200, 7)];
+    assert_eq!(judge(&mut detector, &crashes, &content), 0);
+}
+
+#[test]
+fn content_that_any_node_saw_answered_is_not_condemned() {
+    let crashes = [(0, 1), (400, 2), (800, 3), (1200, 4)];
+    let content = [part("a")];
+    let mut before = Detector::new(Policy::default());
+    before.on_answered(&content, ms(0));
+    assert_eq!(before.report(1, 1, &content, ms(1)), None);
+    assert_eq!(judge(&mut before, &crashes, &content), 0);
+    let mut during = Detector::new(Policy::default());
+    for (upstream, (at, request)) in crashes.iter().enumerate() {
+        during.on_report(&report(upstream as u32, *request, &content), ms(*at));
+    }
+    assert_eq!(during.poll(ms(1200)).suspected, content);
+    // Another node answers the inquiry.
+    during.on_answered(&content, ms(1250));
+    assert!(!during.has_suspected());
+    assert_eq!(during.poll(ms(1300)).condemned, []);
+}
+
+#[test]
+fn content_that_was_sound_long_ago_is_suspected_again() {
+    let mut detector = Detector::new(Policy::default());
+    let content = [part("a")];
+    detector.on_answered(&content, ms(0));
+    let crashes = [(130_000, 1), (130_400, 2), (130_800, 3)];
+    assert_eq!(judge(&mut detector, &crashes, &content), 1);
+}
+
+#[test]
+fn entries_of_other_nodes_are_taken_over_until_they_are_released() {
+    let mut detector = Detector::new(Policy::default());
+    let content = [part("a"), part("b")];
+    let entry = detector.entry(content[0], 3, Duration::from_mins(1));
+    assert_eq!(detector.on_entries(&[entry], ms(0)), content[..1]);
+    assert_eq!(detector.on_entries(&[entry], ms(1)), []);
+    assert_eq!(
+        detector.refused_for(&content, ms(10_001)),
+        Some(Span::from_secs(50))
+    );
+    let rest = report(1, 1, &content[1..]);
+    assert_eq!(detector.report(1, 1, &content, ms(2)), Some(rest));
+    assert!(detector.release(content[0]));
+    assert_eq!(detector.refused_for(&content, ms(3)), None);
+}
+
+#[test]
+fn the_content_of_a_request_is_its_shared_parts_and_itself() {
+    let parts = ["a1", "b2"].map(|part| part.parse().unwrap());
+    let own = "c3".parse().unwrap();
+    let content = Content {
+        customer: None,
+        target: "/stream/",
+        body: b"body",
+        shared: &parts,
+        own: Some(&own),
+    };
+    let first = content.fingerprints();
+    assert_eq!(first.len(), 3);
+    let other = Content {
+        body: b"other",
+        ..content
+    };
+    let other = other.fingerprints();
+    assert_eq!(first[..2], other[..2]);
+    assert_ne!(first[2], other[2]);
+}
+
+/// A request in prefill on an engine.
+struct Running {
+    node: usize,
+    request: u64,
+    engine: u32,
+    begins: u64,
+    content: Vec<Fingerprint>,
+}
+
+/// What became of the requests in one simulation.
+#[derive(Debug, Default)]
+struct Counts {
+    crashes: Vec<u64>,
+    /// The steps at which requests with the deadly part were sent.
+    deadly: Vec<u64>,
+    condemned: BTreeSet<Fingerprint>,
+    refused: u32,
+}
+
+struct Fleet {
+    nodes: Vec<Detector>,
+    running: Vec<Running>,
+    next: u64,
+    /// The entries in the store, with the step at which all nodes have read them.
+    stored: Vec<(u64, QuarantineEntry)>,
+    counts: Counts,
+    rng: ChaCha8Rng,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        Self {
+            nodes: vec![Detector::new(Policy::default()); NODES],
+            running: Vec::new(),
+            next: 0,
+            stored: Vec::new(),
+            counts: Counts::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    fn arrives(&mut self) -> bool {
+        !self.rng.random_ratio(1, LOSS)
+    }
+
+    fn send(&mut self, step: u64, content: Vec<Fingerprint>, is_deadly: bool) {
+        let node = self.rng.random_range(0..NODES);
+        if self.nodes[node]
+            .refused_for(&content, Time::ZERO + STEP * step as u32)
+            .is_some()
+        {
+            self.counts.refused += 1;
+            return;
+        }
+        if is_deadly {
+            self.counts.deadly.push(step);
+        }
+        self.next += 1;
+        let begins = step + self.rng.random_range(4..20);
+        self.running.push(Running {
+            node,
+            request: self.next,
+            engine: self.rng.random_range(0..ENGINES),
+            begins,
+            content,
+        });
+    }
+
+    fn crash(&mut self, engine: u32, step: u64) {
+        self.counts.crashes.push(step);
+        let now = Time::ZERO + STEP * step as u32;
+        let broken: Vec<Running> = self
+            .running
+            .extract_if(.., |one| one.engine == engine)
+            .collect();
+        for one in broken {
+            // The upstream has a new id after each crash.
+            let upstream = engine + 100 * self.counts.crashes.len() as u32;
+            let report = self.nodes[one.node].report(upstream, one.request, &one.content, now);
+            let Some(report) = report else { continue };
+            for collector in COLLECTORS {
+                if self.arrives() {
+                    self.nodes[collector].on_report(&report, now);
+                }
+            }
+        }
+    }
+
+    /// Begins the answers that are due, each of which crashes its engine if it has the deadly part.
+    fn answer(&mut self, step: u64, deadly: Fingerprint) {
+        let now = Time::ZERO + STEP * step as u32;
+        while let Some(index) = self.running.iter().position(|one| one.begins <= step) {
+            if self.running[index].content.contains(&deadly) {
+                self.crash(self.running[index].engine, step);
+            } else {
+                let one = self.running.swap_remove(index);
+                self.nodes[one.node].on_answered(&one.content, now);
+            }
+        }
+    }
+
+    fn judge(&mut self, step: u64) {
+        let now = Time::ZERO + STEP * step as u32;
+        for (_, entry) in self.stored.extract_if(.., |(at, _)| *at <= step) {
+            for node in &mut self.nodes {
+                node.on_entries(&[entry], now);
+            }
+        }
+        for collector in COLLECTORS {
+            let findings = self.nodes[collector].poll(now);
+            let mut entries: Vec<QuarantineEntry> = Vec::new();
+            for (content, crashes) in findings.condemned {
+                self.counts.condemned.insert(content);
+                entries.push(self.nodes[collector].entry(
+                    content,
+                    crashes,
+                    Duration::from_hours(1),
+                ));
+            }
+            self.stored
+                .extend(entries.iter().map(|entry| (step + READ_STEPS, *entry)));
+            for node in 0..NODES {
+                if !findings.suspected.is_empty() && self.arrives() {
+                    let known = self.nodes[node].cleared_among(&findings.suspected, now);
+                    if self.arrives() {
+                        self.nodes[collector].on_answered(&known, now);
+                    }
+                }
+                if !entries.is_empty() && self.arrives() {
+                    self.nodes[node].on_entries(&entries, now);
+                }
+            }
+        }
+    }
+}
+
+fn play<R>(seed: u64, poison_every: u64, chance: u32, pick: R) -> Counts
+where
+    R: Fn(&mut ChaCha8Rng) -> Vec<Fingerprint>,
+{
+    let mut fleet = Fleet::new(seed);
+    let deadly = part("dead");
+    for step in 0..2_000 {
+        for _ in 0..2 {
+            let mut rng = ChaCha8Rng::seed_from_u64(fleet.rng.next_u64());
+            let content = pick(&mut rng);
+            fleet.send(step, content, false);
+        }
+        if step > 200 && step % poison_every == 0 {
+            let mut rng = ChaCha8Rng::seed_from_u64(fleet.rng.next_u64());
+            let mut content = pick(&mut rng);
+            content.insert(1, deadly);
+            fleet.send(step, content, true);
+        }
+        if fleet.rng.random_ratio(1, chance) {
+            let engine = fleet.rng.random_range(0..ENGINES);
+            fleet.crash(engine, step);
+        }
+        fleet.answer(step, deadly);
+        if step % 5 == 0 {
+            fleet.judge(step);
+        }
+    }
+    fleet.counts
+}
+
+/// A first part of all, one of a few documents, and a rare one that two to five requests share.
+fn pick(rng: &mut ChaCha8Rng) -> Vec<Fingerprint> {
+    let documents = ["b0", "b1", "b2", "b3"];
+    let document = documents.choose(rng).unwrap();
+    let rare = format!("rare {}", rng.random_range(0..1_200));
+    vec![part("first"), part(document), part(&rare)]
+}
+
+#[test]
+fn only_the_deadly_part_is_condemned_and_soon() {
+    for seed in 0..20 {
+        for poison_every in [2, 10, 30, 100] {
+            let counts = play(seed, poison_every, 100, pick);
+            let case = format!("seed {seed}, each {poison_every} steps: {counts:?}");
+            assert_eq!(counts.condemned, BTreeSet::from([part("dead")]), "{case}");
+            // Crashes by chance are among the crashes, so the fifth is no later than the fifth deadly one.
+            let deadly_crashes = counts.crashes.iter().filter(|step| **step > 200);
+            let fifth = deadly_crashes.copied().nth(4).unwrap_or(u64::MAX);
+            let limit = fifth.saturating_add(150);
+            let late = counts.deadly.iter().filter(|step| **step > limit);
+            assert!(late.count() <= 3, "{case}");
+            assert!(counts.refused > 0, "{case}");
+        }
+    }
+}
+
+#[test]
+fn crashes_by_chance_condemn_nothing() {
+    for seed in 0..20 {
+        let counts = play(seed, u64::MAX, 12, pick);
+        assert!(counts.crashes.len() > 100);
+        assert_eq!(counts.condemned, BTreeSet::new(), "seed {seed}");
+        assert_eq!(counts.refused, 0);
+    }
+}
--- a/crates/catkinusher-core/tests/refusals.rs
+++ b/crates/catkinusher-core/tests/refusals.rs
@@ -69,6 +69,9 @@
         Refusal::Quarantined {
             left: Span::from_secs(60),
         },
+        Refusal::QuarantinedContent {
+            left: Span::from_secs(60),
+        },
         Refusal::ShuttingDown { after },
         Refusal::StopLimit { outcome },
         Refusal::Drained { service: service() },
--- a/crates/catkinusherd/src/gateway/attempt/judge.rs
+++ b/crates/catkinusherd/src/gateway/attempt/judge.rs
@@ -5,7 +5,7 @@
 
 use catkinusher_core::directory::Delivery;
 use catkinusher_core::fleet::Fault;
-use catkinusher_core::id::{PartId, UpstreamId};
+use catkinusher_core::id::UpstreamId;
 use catkinusher_core::retry::{self, Decision, Failure, Reason};
 use catkinusher_core::units::Span;
 use tracing::info;
@@ -86,17 +86,6 @@
         );
     }
 
-    /// Records that the connection to an upstream broke before the request was answered on it,
-    /// as it does when the upstream crashes.
-    pub(in crate::gateway) fn on_broken_off_unanswered(&self, upstream: &UpstreamId) {
-        info!(
-            event = "broken-off",
-            request = self.request_id(),
-            upstream = %upstream,
-            parts = ?self.ask.shared_parts.iter().map(PartId::as_str).collect::<Vec<_>>(),
-        );
-    }
-
     /// Takes a retry from the service's budget for a request that has provably not run.
     pub(super) fn take_retry_budget(&self) -> bool {
         self.state
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -192,11 +192,14 @@
             if self.time_left() < MIN_ATTEMPT_TIME {
                 return Err(self.deadline_refusal());
             }
+            self.check_quarantine()?;
             let Placed {
                 placement,
                 address,
                 resources,
             } = self.wait_for_placement().await?;
+            // Its content may have been condemned while it waited.
+            self.check_quarantine()?;
             let upstream = placement.primary.clone();
             match self
                 .start_attempt(&placement, address, resources, resume)
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -60,7 +60,7 @@
                     tokio::spawn(async move { fetch(&state, &store, &schema, revision).await });
                 }
                 Action::Ask(peer, number) => {
-                    let seen = Feed::ALL.map(|feed| state.feeds.upto(feed));
+                    let seen = Feed::ALL.map(|feed| state.feeds.upto(feed)).to_vec();
                     peers::send(&socket, &Message::ConfirmQuery(number, seen), peer);
                 }
             }
@@ -168,11 +168,13 @@
     let upstreams = view.upstreams.on_peer_version(reply.known.upstreams);
     let drained = view.drained.on_peer_version(reply.known.drained);
     let nodes = view.nodes.on_peer_version(reply.known.nodes);
+    let quarantine = view.quarantine.on_peer_version(reply.known.quarantine);
     drop(view);
     for (is_behind, kind, notifier) in [
         (upstreams, "upstreams", &state.notifiers.upstreams),
         (drained, "drained", &state.notifiers.drained),
         (nodes, "nodes", &state.notifiers.nodes),
+        (quarantine, "quarantine", &state.notifiers.quarantine),
     ] {
         if is_behind {
             debug!("store: a peer knows newer {kind}");
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -30,6 +30,8 @@
     pub resume: Option<u64>,
     /// The parts of the prompt that other requests may share, in order.
     pub shared_parts: Vec<PartId>,
+    /// The last part of the prompt, which belongs to the request or its session.
+    pub own_part: Option<PartId>,
 }
 
 /// A request head that cannot be parsed.
@@ -154,6 +156,9 @@
     /// The kind of the objects with which nodes register.
     const NODES: &'static str;
 
+    /// The kind of the objects that name quarantined content.
+    const QUARANTINE: &'static str;
+
     /// Parses the configuration.
     ///
     /// # Errors
--- a/crates/catkinusherd/src/gateway/feeds.rs
+++ b/crates/catkinusherd/src/gateway/feeds.rs
@@ -37,6 +37,7 @@
     upstreams: Kind,
     drained: Kind,
     nodes: Kind,
+    quarantine: Kind,
 }
 
 impl Feeds {
@@ -45,6 +46,7 @@
             Feed::Upstreams => &self.upstreams,
             Feed::Drained => &self.drained,
             Feed::Nodes => &self.nodes,
+            Feed::Quarantine => &self.quarantine,
         }
     }
 
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use catkinusher_core::directory::{Customer, Directory, Repeat, Route};
+use catkinusher_core::fingerprint::Fingerprint;
 use catkinusher_core::fleet::Fault;
 use catkinusher_core::id::{ServiceId, UpstreamId};
 use catkinusher_core::outcome::{AttemptHistory, Refusal};
@@ -65,6 +66,8 @@
     /// How often the request was sent.
     pub(super) sends: u32,
     pub(super) avoid: Vec<UpstreamId>,
+    /// The fingerprints of what other requests may have in common with it.
+    pub(super) content: Vec<Fingerprint>,
     pub(super) open: OpenRequest,
 }
 
@@ -210,6 +213,7 @@
         sent_to: BTreeSet::new(),
         sends: 0,
         avoid: Vec::new(),
+        content: Vec::new(),
         open: state.open_requests.begin(&ask.id, received),
         body: Bytes::new(),
         state: Arc::clone(state),
@@ -220,6 +224,7 @@
     state.with_budget(&job.service, |policy, budget| budget.on_new_request(policy));
     let mut job = job;
     job.body = read_body(&job, body, limit).await.map_err(fail)?;
+    job.fingerprint_content();
     Ok(job)
 }
 
@@ -325,6 +330,7 @@
         drop(resources);
         match whole {
             Ok(whole) => {
+                self.on_answered();
                 if head.status.is_server_error() {
                     self.record_fault(&upstream, address, Fault::Failed, head.status.as_str());
                 } else {
--- a/crates/catkinusherd/src/gateway/metrics.rs
+++ b/crates/catkinusherd/src/gateway/metrics.rs
@@ -42,6 +42,7 @@
     pub(super) upstreams: usize,
     pub(super) nodes: usize,
     pub(super) open_requests: u64,
+    pub(super) quarantined: usize,
 }
 
 /// The metrics of one gateway.
@@ -57,6 +58,7 @@
     upstreams: Gauge,
     nodes: Gauge,
     open_requests: Gauge,
+    quarantined: Gauge,
     log_dropped: Gauge,
 }
 
@@ -73,6 +75,7 @@
             upstreams: Gauge::default(),
             nodes: Gauge::default(),
             open_requests: Gauge::default(),
+            quarantined: Gauge::default(),
             log_dropped: Gauge::default(),
         };
         metrics.register();
@@ -109,6 +112,8 @@
             "Requests under way",
             self.open_requests.clone(),
         );
+        let help = "Contents that crash upstreams and are refused";
+        registry.register("quarantined", help, self.quarantined.clone());
         let help = "Log lines dropped as nobody took them";
         registry.register("log_dropped", help, self.log_dropped.clone());
     }
@@ -144,6 +149,7 @@
         self.upstreams.set(whole(values.upstreams as u64));
         self.nodes.set(whole(values.nodes as u64));
         self.open_requests.set(whole(values.open_requests));
+        self.quarantined.set(whole(values.quarantined as u64));
         self.log_dropped.set(whole(log::dropped_lines()));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod placing;
 mod pool;
+mod quarantine;
 mod relay;
 mod reserve;
 mod state;
@@ -99,6 +100,7 @@
         }
         watch::start(&self.state, &self.store, &self.schema);
         let socket = peers::start(&self.state, &self.store, &self.schema).await?;
+        quarantine::start::<D, S>(&self.state, &self.store, &socket);
         confirm::start(&self.state, &self.store, &self.schema, socket);
         let serving = tokio::spawn(front::serve(Arc::clone(&self.state), listener));
         stop::drain_on_signal(&self.state, serving).await?;
--- a/crates/catkinusherd/src/gateway/peers/message.rs
+++ b/crates/catkinusherd/src/gateway/peers/message.rs
@@ -7,10 +7,12 @@
 
 use catkinusher_core::confirm::ConfirmReply;
 use catkinusher_core::feed::Batch;
+use catkinusher_core::fingerprint::Fingerprint;
 use catkinusher_core::fleet::{Cell, Load, Pressure};
 use catkinusher_core::id::{DataCentreId, ServiceId};
 use catkinusher_core::object::Version;
 use catkinusher_core::placer::{Answer, Ask};
+use catkinusher_core::poison::{CrashReport, QuarantineEntry};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::net::UdpSocket;
@@ -99,11 +101,17 @@
     Upstreams,
     Drained,
     Nodes,
+    Quarantine,
 }
 
 impl Feed {
     /// All kinds, in the order of the positions in a query.
-    pub(in crate::gateway) const ALL: [Self; 3] = [Self::Upstreams, Self::Drained, Self::Nodes];
+    pub(in crate::gateway) const ALL: [Self; 4] = [
+        Self::Upstreams,
+        Self::Drained,
+        Self::Nodes,
+        Self::Quarantine,
+    ];
 }
 
 /// A message between nodes.
@@ -114,10 +122,10 @@
     Report(Report),
     /// Asks when the configuration was last confirmed; the reply repeats the number.
     ///
-    /// The positions up to which the sender has seen upstreams, drained data
-    /// centres and nodes follow, so that it gets the changes since.
+    /// The positions up to which the sender has seen each kind of [`Feed::ALL`]
+    /// follow, so that it gets the changes since.
     #[serde(rename = "a")]
-    ConfirmQuery(u64, [Version; 3]),
+    ConfirmQuery(u64, Vec<Version>),
     /// The reply to a query.
     #[serde(rename = "w")]
     ConfirmReply(ConfirmReply),
@@ -133,6 +141,18 @@
     /// How busy a cell is in which the sender places the requests.
     #[serde(rename = "l")]
     Pressure(ServiceId, DataCentreId, Pressure),
+    /// An upstream broke a request off that it had not begun to answer.
+    #[serde(rename = "b")]
+    BrokenOff(CrashReport),
+    /// Asks whether suspected content is known to be sound.
+    #[serde(rename = "i")]
+    Inquiry(Vec<Fingerprint>),
+    /// Tells that it is.
+    #[serde(rename = "s")]
+    Cleared(Vec<Fingerprint>),
+    /// Content that crashes upstreams.
+    #[serde(rename = "x")]
+    Quarantined(Vec<QuarantineEntry>),
 }
 
 impl Message {
--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -21,7 +21,7 @@
 
 use super::dialect::{Dialect, StoreSchema};
 use super::state::{Registration, State};
-use super::{clock, confirm, placing};
+use super::{clock, confirm, placing, quarantine};
 
 /// How often expired idle connections are closed.
 const EVICT_PERIOD: Duration = Duration::from_secs(20);
@@ -165,6 +165,12 @@
             Ok(Message::ConfirmReply(reply)) => confirm::on_peer_reply(&state, &reply),
             Ok(Message::Ask(question)) => placing::on_question(&state, &socket, question, from),
             Ok(Message::Answer(answer)) => placing::deliver(&state, Some(from), answer),
+            Ok(Message::BrokenOff(report)) => quarantine::on_report(&state, &report),
+            Ok(Message::Inquiry(content)) => {
+                quarantine::on_inquiry(&state, &socket, &content, from);
+            }
+            Ok(Message::Cleared(content)) => quarantine::on_cleared(&state, &content),
+            Ok(Message::Quarantined(entries)) => quarantine::on_entries(&state, &entries),
             Ok(Message::Pressure(service, data_centre, pressure)) => {
                 let cell = Cell {
                     service,
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -209,6 +209,9 @@
                         continue;
                     }
                     last_event = job.state.now();
+                    if arrivals.last.is_none() {
+                        job.on_answered();
+                    }
                     arrivals.on_event(last_event);
                     attempt.resources.on_read();
                     if caller.send(Ok(whole.into())).await.is_err() {
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use catkinusher_core::fleet::{Fleet, MIN_ASSUMED_NODES};
 use catkinusher_core::id::ServiceId;
 use catkinusher_core::placer::{Asker, Placer};
+use catkinusher_core::poison::{self, Detector};
 use catkinusher_core::rendezvous::Salt;
 use catkinusher_core::retry::{self, Budget};
 use catkinusher_core::roster::{Member, Roster};
@@ -47,6 +48,8 @@
     pub(super) upstreams: WatchProgress,
     pub(super) drained: WatchProgress,
     pub(super) nodes: WatchProgress,
+    pub(super) quarantine: WatchProgress,
+    pub(super) quarantine_listed: bool,
 }
 
 impl StoreView {
@@ -57,6 +60,7 @@
             upstreams: self.upstreams.newest(),
             drained: self.drained.newest(),
             nodes: self.nodes.newest(),
+            quarantine: self.quarantine.newest(),
         }
     }
 }
@@ -69,6 +73,9 @@
     pub(super) upstreams: Notify,
     pub(super) drained: Notify,
     pub(super) nodes: Notify,
+    pub(super) quarantine: Notify,
+    /// Content is suspected to crash upstreams.
+    pub(super) suspected: Notify,
     /// Asks are waiting at this node.
     pub(super) placing: Notify,
 }
@@ -80,6 +87,7 @@
         self.upstreams.notify_one();
         self.drained.notify_one();
         self.nodes.notify_one();
+        self.quarantine.notify_one();
     }
 }
 
@@ -128,6 +136,7 @@
     view: Mutex<StoreView>,
     fleet: Mutex<Fleet>,
     budgets: Mutex<BTreeMap<ServiceId, Budget>>,
+    detector: Mutex<Detector>,
     pub(super) metrics: Metrics,
     ready: AtomicBool,
     pub(super) open_requests: OpenRequests,
@@ -162,6 +171,7 @@
             view: Mutex::default(),
             fleet: Mutex::new(fleet),
             budgets: Mutex::default(),
+            detector: Mutex::new(Detector::new(poison::Policy::default())),
             metrics: Metrics::default(),
             ready: AtomicBool::new(false),
             open_requests: OpenRequests::default(),
@@ -176,6 +186,10 @@
         lock(&self.fleet)
     }
 
+    pub(super) fn detector(&self) -> MutexGuard<'_, Detector> {
+        lock(&self.detector)
+    }
+
     pub(super) fn roster(&self) -> MutexGuard<'_, Roster> {
         lock(&self.roster)
     }
@@ -292,6 +306,7 @@
         let view = self.view();
         let ready = !self.stopping.is_cancelled()
             && view.upstreams_listed
+            && view.quarantine_listed
             && view.directory.is_some()
             && fresh;
         drop(view);
@@ -314,6 +329,7 @@
             upstreams: fleet.len(),
             nodes: self.roster().len(),
             open_requests: self.open_requests.count() as u64,
+            quarantined: self.detector().quarantined(),
         };
         drop(fleet);
         self.metrics.encode_text(&values)
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use catkinusher_core::feed::Change;
+use catkinusher_core::fingerprint::Fingerprint;
 use catkinusher_core::freshness::StoreOutage;
 use catkinusher_core::id::{DataCentreId, UpstreamId};
 use catkinusher_core::roster::Member;
@@ -20,6 +21,7 @@
 use super::dialect::{Dialect, StoreSchema};
 use super::feeds::Feeds;
 use super::peers::Feed;
+use super::quarantine;
 use super::state::State;
 
 /// How long one call waits for changes, within the store's limit. If a stalled
@@ -98,6 +100,15 @@
         store.clone(),
         nodes,
     ));
+    let quarantine = QuarantineHandler::<D, S> {
+        state: Arc::clone(state),
+        schema: PhantomData,
+    };
+    tokio::spawn(run_watch::<D, S, _>(
+        Arc::clone(state),
+        store.clone(),
+        quarantine,
+    ));
     let drained = DrainHandler::<D, S> {
         state: Arc::clone(state),
         data_centres: BTreeSet::new(),
@@ -637,3 +648,64 @@
         self.state.view().nodes.on_answer(seen, newest);
     }
 }
+
+struct QuarantineHandler<D, S> {
+    state: Arc<State<D>>,
+    schema: PhantomData<S>,
+}
+
+impl<D, S> QuarantineHandler<D, S>
+where
+    D: Dialect,
+    S: StoreSchema,
+{
+    fn apply(&self, name: &str, value: Value) {
+        let entry = serde_json::from_value(value).map_err(|fault| fault.to_string());
+        let content = name.parse::<Fingerprint>();
+        match (content.map_err(|fault| fault.to_string()), entry) {
+            (Ok(content), Ok(entry)) => quarantine::on_stored(&self.state, content, entry),
+            (Err(fault), _) | (_, Err(fault)) => {
+                warn!(event = "quarantine", name, outcome = "bad-entry", fault);
+            }
+        }
+    }
+}
+
+impl<D, S> WatchHandler for QuarantineHandler<D, S>
+where
+    D: Dialect,
+    S: StoreSchema,
+{
+    const FEED: Option<Feed> = Some(Feed::Quarantine);
+
+    fn kind(&self) -> &'static str {
+        S::QUARANTINE
+    }
+
+    fn notifier(&self) -> &Notify {
+        &self.state.notifiers.quarantine
+    }
+
+    // Entries that the list lacks stay, as they may not be in the store yet.
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _outage: bool) {
+        for object in objects {
+            self.apply(&object.name, object.value);
+        }
+        self.state.view().quarantine_listed = true;
+    }
+
+    fn on_event(&mut self, event: Event<Value>, _outage: bool) {
+        match event.value {
+            Some(value) => self.apply(&event.name, value),
+            None => {
+                if let Ok(content) = event.name.parse() {
+                    quarantine::on_removed(&self.state, content);
+                }
+            }
+        }
+    }
+
+    fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
+        self.state.view().quarantine.on_answer(seen, newest);
+    }
+}
