Condemn content only by a quorum, and explain crashes by what was condemned

What callers saw: nothing yet; a review of the quarantine found how a deadly request could stay unknown, and how sound content could be condemned. Cause: (1) any whole answer cleared content, an error answer too, and so did the first event of a stream, though an upstream may crash with that event on its way; (2) what a node heard to be sound it passed on as its own, so that it was never forgotten; (3) silence of the other nodes counted as proof, so a node that was cut off could condemn for all; (4) reports went to nodes whose loss nobody notices; (5) with nine or more deadly contents none had enough crashes, as each counted as chance for the others, while content that was used only beside deadly content was condemned with it; (6) inquiries of any size did not fit into a datagram; (7) an expired entry in the store kept a new one from being stored, and its removal released the new one. Change: streams clear content from the second event on, other requests by answers that are no server error; nodes answer inquiries from what they saw themselves; half of the nodes must have replied; the readers of the store collect reports; condemned content explains its crashes; inquiries are split; expired entries are replaced, and removed only at their version. The check comes right before the send, and all nodes are told three times.

--- a/crates/catkinusher-core/src/events/mod.rs
+++ b/crates/catkinusher-core/src/events/mod.rs
@@ -30,6 +30,8 @@
 pub struct EventSplitter {
     buffer: Vec<u8>,
     last_id: Option<u64>,
+    /// The number of complete events.
+    count: u64,
     /// Whether a gap in the ids is an error; a stream may resume after a gap.
     strict: bool,
 }
@@ -41,6 +43,7 @@
         Self {
             buffer: Vec::new(),
             last_id,
+            count: 0,
             strict: false,
         }
     }
@@ -51,6 +54,12 @@
         self.last_id
     }
 
+    /// The number of complete events.
+    #[must_use]
+    pub const fn count(&self) -> u64 {
+        self.count
+    }
+
     /// Whether no partial event is buffered.
     #[must_use]
     pub const fn is_at_boundary(&self) -> bool {
@@ -87,6 +96,7 @@
                 self.last_id = Some(found);
                 self.strict = true;
             }
+            self.count += 1;
             complete = end;
             from = end;
         }
--- a/crates/catkinusher-core/src/poison/detector.rs
+++ b/crates/catkinusher-core/src/poison/detector.rs
@@ -1,8 +1,9 @@
 //! Detection of content that crashes upstreams where no node sees all requests of an upstream.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::suspects::{Cleared, CrashReport, Findings, Suspects};
+use super::suspects::{Cleared, CrashReport, Findings, Inquiry, InquiryReply, Suspects};
 use super::{CrashScore, Policy, Quarantine, QuarantineEntry, Verdict};
 use crate::fingerprint::Fingerprint;
 use crate::time::Time;
@@ -22,7 +23,10 @@
     policy: Policy,
     quarantine: Quarantine,
     suspects: Suspects,
+    /// What this node itself saw answered.
     cleared: Cleared,
+    /// What other nodes saw answered, which this node does not pass on.
+    heard: Cleared,
 }
 
 impl Detector {
@@ -56,6 +60,8 @@
 
     /// The report for a request with this content that broke off unanswered, unless all of it is
     /// known to be sound.
+    ///
+    /// Content in quarantine explains the crash, so the rest is not reported.
     #[must_use]
     pub fn report(
         &self,
@@ -64,8 +70,13 @@
         content: &[Fingerprint],
         now: Time,
     ) -> Option<CrashReport> {
-        let unknown = content.iter().filter(|one| !self.is_settled(**one, now));
-        let content: Vec<Fingerprint> = unknown.copied().collect();
+        let content: Vec<Fingerprint> =
+            if let Some(condemned) = content.iter().find(|one| self.is_condemned(**one, now)) {
+                vec![*condemned]
+            } else {
+                let unknown = content.iter().filter(|one| !self.is_cleared(**one, now));
+                unknown.copied().collect()
+            };
         (!content.is_empty()).then_some(CrashReport {
             upstream,
             request,
@@ -73,8 +84,12 @@
         })
     }
 
-    fn is_settled(&self, content: Fingerprint, now: Time) -> bool {
-        self.cleared.contains(content, now) || self.refused_for(&[content], now).is_some()
+    fn is_cleared(&self, content: Fingerprint, now: Time) -> bool {
+        self.cleared.contains(content, now) || self.heard.contains(content, now)
+    }
+
+    fn is_condemned(&self, content: Fingerprint, now: Time) -> bool {
+        self.refused_for(&[content], now).is_some()
     }
 
     /// Records a report of a node.
@@ -84,22 +99,34 @@
             request,
             content,
         } = report;
-        let content: Vec<_> = content
-            .iter()
-            .copied()
-            .filter(|one| !self.is_settled(*one, now))
-            .collect();
+        if content.iter().any(|one| self.is_condemned(*one, now)) {
+            self.suspects.on_explained(now);
+            return;
+        }
+        let unknown = content.iter().copied();
+        let unknown: Vec<_> = unknown.filter(|one| !self.is_cleared(*one, now)).collect();
         self.suspects
-            .on_crash(content.into_iter(), *upstream, *request, now);
+            .on_crash(unknown.into_iter(), *upstream, *request, now);
     }
 
-    /// The content that this node knows to be sound, as the answer to an inquiry.
+    /// The reply to another node's inquiry, by what this node itself saw.
     #[must_use]
-    pub fn cleared_among(&self, content: &[Fingerprint], now: Time) -> Vec<Fingerprint> {
-        let known = content.iter().copied();
-        known
-            .filter(|one| self.cleared.contains(*one, now))
-            .collect()
+    pub fn reply(&self, inquiry: &Inquiry, now: Time) -> InquiryReply {
+        let content = inquiry.content.iter().copied();
+        let cleared = content.filter(|one| self.cleared.contains(*one, now));
+        InquiryReply {
+            number: inquiry.number,
+            cleared: cleared.collect(),
+        }
+    }
+
+    /// Records a node's reply to an inquiry.
+    pub fn on_reply(&mut self, reply: &InquiryReply, node: SocketAddr, now: Time) {
+        for one in &reply.cleared {
+            self.suspects.remove(*one);
+            self.heard.insert(*one, now);
+        }
+        self.suspects.on_reply(reply.number, node);
     }
 
     /// Whether inquiries are due, so that [`poll`](Self::poll) has to be called.
@@ -108,9 +135,11 @@
         self.suspects.has_suspected()
     }
 
-    /// Decides on the suspected content, and puts the condemned into quarantine.
-    pub fn poll(&mut self, now: Time) -> Findings {
-        let findings = self.suspects.poll(self.policy.suspicion.get(), now);
+    /// Decides on the suspected content in a fleet with this number of other nodes, and puts the
+    /// condemned into quarantine.
+    pub fn poll(&mut self, others: usize, now: Time) -> Findings {
+        let suspicion = self.policy.suspicion.get();
+        let findings = self.suspects.poll(suspicion, others, now);
         let condemned = findings.condemned.iter();
         let entries: Vec<_> = condemned
             .map(|(content, crashes)| self.entry(*content, *crashes, self.policy.quarantine.get()))
--- a/crates/catkinusher-core/src/poison/mod.rs
+++ b/crates/catkinusher-core/src/poison/mod.rs
@@ -23,7 +23,7 @@
 pub use self::detector::Detector;
 use self::entry::Entry;
 pub use self::entry::{CrashScore, QuarantineEntry};
-pub use self::suspects::{CrashReport, Findings, INQUIRY_INTERVAL};
+pub use self::suspects::{CrashReport, Findings, INQUIRY_INTERVAL, Inquiry, InquiryReply};
 use crate::fingerprint::Fingerprint;
 use crate::time::Time;
 use crate::units::Span;
--- a/crates/catkinusher-core/src/poison/suspects.rs
+++ b/crates/catkinusher-core/src/poison/suspects.rs
@@ -1,6 +1,7 @@
 //! Content that was in requests when upstreams crashed, and content that is known to be sound.
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -9,11 +10,14 @@
 use crate::time::Time;
 
 /// The number of crashes from which the nodes are asked whether they know content to be sound.
-const MIN_CRASHES: u32 = 3;
+const MIN_CRASHES: usize = 3;
 
 /// The number of crashes without the content that raise the number needed by one, as content that
 /// is seldom used may be in a few crashes by chance where there are many.
-const CRASHES_BY_CHANCE: u32 = 8;
+const CRASHES_BY_CHANCE: usize = 8;
+
+/// The time that raises the number needed by one, whatever else crashes: other content may be deadly, too.
+const TIME_BY_CHANCE: Duration = Duration::from_secs(5);
 
 /// The number of requests that must have been broken off, as one request may only be unlucky.
 const MIN_REQUESTS: usize = 2;
@@ -27,9 +31,23 @@
 /// How often the nodes are asked before content is condemned, as datagrams may be lost.
 const INQUIRIES: u32 = 3;
 
+/// The share of the other nodes that must have answered, as a node that is cut off from them knows
+/// nothing of what they saw.
+const QUORUM: f64 = 0.5;
+
+/// The number of suspects in one inquiry, so that it and its answers fit into a datagram.
+const MAX_INQUIRY: usize = 100;
+
 /// How long the nodes have to answer an inquiry.
 pub const INQUIRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The most doublings of that time while too few nodes answer.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// The number of crashes that are kept of one suspect, and of those whose cause is known.
+const MAX_CRASHES: usize = 64;
+const MAX_EXPLAINED: usize = 256;
+
 /// The number of suspects that are kept.
 const MAX_SUSPECTS: usize = 1_000;
 
@@ -73,116 +91,215 @@
 /// What follows from the reports.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Findings {
-    /// Content about which all nodes should be asked whether it is sound.
-    pub suspected: Vec<Fingerprint>,
+    /// The question for all nodes, if there is one.
+    pub inquiry: Option<Inquiry>,
     /// Content that no node knows to be sound, with the number of crashes.
     pub condemned: Vec<(Fingerprint, u32)>,
 }
 
+/// The question whether content is known to be sound.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inquiry {
+    /// The number of the inquiry, which replies repeat.
+    pub number: u64,
+    /// The suspected content.
+    pub content: Vec<Fingerprint>,
+}
+
+/// A node's reply to an inquiry, which also tells that it knows nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InquiryReply {
+    /// The number of the inquiry.
+    pub number: u64,
+    /// The content that the node itself saw answered.
+    pub cleared: Vec<Fingerprint>,
+}
+
 #[derive(Debug, Clone, Default)]
 struct Suspect {
-    crashes: u32,
-    /// When the last crash was counted.
-    crashed_at: Time,
-    /// The number of all crashes from the first to the last that was counted.
-    all_crashes: u32,
-    /// The number of all crashes before the first that was counted.
-    before: u32,
+    /// The numbers of the crashes, and when the first and the last of them were.
+    crashes: BTreeSet<u32>,
+    first_at: Time,
+    last_at: Time,
     upstreams: BTreeMap<u32, Time>,
     requests: BTreeSet<u64>,
     inquiries: u32,
     inquire_at: Time,
+    /// The numbers of the first and the last inquiry about it.
+    asked: Option<(u64, u64)>,
+    /// The nodes that replied.
+    repliers: BTreeSet<SocketAddr>,
 }
 
 impl Suspect {
-    fn on_crash(&mut self, upstream: u32, request: u64, all_crashes: u32, now: Time) {
+    fn on_crash(&mut self, crash: u32, upstream: u32, request: u64, now: Time) {
         if self.requests.len() < MIN_REQUESTS {
             self.requests.insert(request);
         }
         let known = self.upstreams.get(&upstream);
         let is_same = known.is_some_and(|at| now.since(*at) < SAME_CRASH);
-        let is_close = self.crashes > 0 && now.since(self.crashed_at) < CRASH_SPACING;
-        if is_same || is_close {
+        let is_close = !self.crashes.is_empty() && now.since(self.last_at) < CRASH_SPACING;
+        if is_same || is_close || self.crashes.len() >= MAX_CRASHES {
             return;
         }
-        if self.crashes == 0 {
-            self.before = all_crashes.saturating_sub(1);
+        if self.crashes.is_empty() {
+            self.first_at = now;
         }
-        self.crashes += 1;
-        self.crashed_at = now;
-        self.all_crashes = all_crashes.saturating_sub(self.before);
+        self.last_at = now;
+        self.crashes.insert(crash);
         self.upstreams.retain(|_, at| now.since(*at) < SAME_CRASH);
         self.upstreams.insert(upstream, now);
     }
 
-    fn is_suspected(&self) -> bool {
-        let others = self.all_crashes.saturating_sub(self.crashes);
-        self.crashes >= MIN_CRASHES + others / CRASHES_BY_CHANCE
+    /// Whether it is in too many crashes for chance; `explained` are those with another cause.
+    fn is_suspected(&self, explained: &BTreeSet<u32>) -> bool {
+        let (Some(first), Some(last)) = (self.crashes.first(), self.crashes.last()) else {
+            return false;
+        };
+        let all = (last - first + 1) as usize - explained.range(*first..=*last).count();
+        let others = all.saturating_sub(self.crashes.len()) / CRASHES_BY_CHANCE;
+        let time = self.last_at.since(self.first_at).as_secs() / TIME_BY_CHANCE.as_secs();
+        self.crashes.len() >= MIN_CRASHES + others.min(time as usize)
             && self.requests.len() >= MIN_REQUESTS
     }
+
+    fn was_asked(&self, number: u64) -> bool {
+        self.asked
+            .is_some_and(|(first, last)| (first..=last).contains(&number))
+    }
 }
 
 /// The content of requests that broke off, as far as no node is known to have seen it answered.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Suspects {
     entries: BTreeMap<Fingerprint, Suspect>,
-    /// The number of all crashes, of which those close together count once.
-    crashes: u32,
+    /// The number of the last crash; those close together have the same.
+    crash: u32,
     crashed_at: Time,
+    /// The crashes in which a request had content that was condemned.
+    explained: BTreeSet<u32>,
+    inquiries: u64,
 }
 
 impl Suspects {
+    fn number_crash(&mut self, now: Time) -> u32 {
+        if self.crash == 0 || now.since(self.crashed_at) >= CRASH_SPACING {
+            self.crash += 1;
+            self.crashed_at = now;
+        }
+        self.crash
+    }
+
     /// Records a crash, and the content of a request that it broke off.
     pub(super) fn on_crash<I>(&mut self, content: I, upstream: u32, request: u64, now: Time)
     where
         I: Iterator<Item = Fingerprint>,
     {
-        if self.crashes == 0 || now.since(self.crashed_at) >= CRASH_SPACING {
-            self.crashes += 1;
-            self.crashed_at = now;
+        let crash = self.number_crash(now);
+        if self.explained.contains(&crash) {
+            return;
         }
         for one in content {
             let suspect = self.entries.entry(one).or_default();
-            suspect.on_crash(upstream, request, self.crashes, now);
+            suspect.on_crash(crash, upstream, request, now);
         }
         while self.entries.len() > MAX_SUSPECTS {
             let least = self
                 .entries
                 .iter()
-                .min_by_key(|(_, suspect)| (suspect.crashes, suspect.crashed_at))
+                .min_by_key(|(_, suspect)| (suspect.crashes.len(), suspect.last_at))
                 .map(|(content, _)| *content);
             let Some(least) = least else { return };
             self.entries.remove(&least);
         }
     }
 
+    /// Records a crash of a request with condemned content.
+    pub(super) fn on_explained(&mut self, now: Time) {
+        let crash = self.number_crash(now);
+        self.explain(&BTreeSet::from([crash]));
+    }
+
+    /// Takes crashes with a known cause from all suspects.
+    fn explain(&mut self, crashes: &BTreeSet<u32>) {
+        self.explained.extend(crashes);
+        while self.explained.len() > MAX_EXPLAINED {
+            self.explained.pop_first();
+        }
+        self.entries.retain(|_, suspect| {
+            suspect.crashes.retain(|crash| !crashes.contains(crash));
+            !suspect.crashes.is_empty()
+        });
+    }
+
     pub(super) fn remove(&mut self, content: Fingerprint) {
         self.entries.remove(&content);
     }
 
     /// Whether nodes have to be asked about any content.
     pub(super) fn has_suspected(&self) -> bool {
-        self.entries.values().any(Suspect::is_suspected)
+        let mut suspects = self.entries.values();
+        suspects.any(|suspect| suspect.is_suspected(&self.explained))
     }
 
-    pub(super) fn poll(&mut self, suspicion: Duration, now: Time) -> Findings {
-        let mut findings = Findings::default();
-        self.entries
-            .retain(|_, suspect| now.since(suspect.crashed_at) < suspicion);
-        self.entries.retain(|content, suspect| {
-            if !suspect.is_suspected() || now < suspect.inquire_at {
-                return true;
-            }
-            if suspect.inquiries == INQUIRIES {
-                findings.condemned.push((*content, suspect.crashes));
-                return false;
+    /// Records that a node has replied to an inquiry.
+    pub(super) fn on_reply(&mut self, number: u64, node: SocketAddr) {
+        for suspect in self.entries.values_mut() {
+            if suspect.was_asked(number) {
+                suspect.repliers.insert(node);
             }
+        }
+    }
+
+    /// Decides on the suspects in a fleet with this number of other nodes.
+    pub(super) fn poll(&mut self, suspicion: Duration, others: usize, now: Time) -> Findings {
+        self.entries
+            .retain(|_, suspect| now.since(suspect.last_at) < suspicion);
+        let mut condemned = Vec::new();
+        // One at a time, as the crashes that the first explains may be all there is against the next.
+        while let Some((content, crashes)) = self.next_condemned(others, now) {
+            self.entries.remove(&content);
+            condemned.push((content, crashes.len() as u32));
+            self.explain(&crashes);
+        }
+        let inquiry = self.next_inquiry(now);
+        Findings { inquiry, condemned }
+    }
+
+    /// The suspect with the most crashes, if enough nodes have replied and none has cleared it.
+    fn next_condemned(&self, others: usize, now: Time) -> Option<(Fingerprint, BTreeSet<u32>)> {
+        let quorum = (others as f64 * QUORUM).ceil() as usize;
+        self.entries
+            .iter()
+            .filter(|(_, suspect)| suspect.is_suspected(&self.explained))
+            .filter(|(_, suspect)| suspect.inquiries >= INQUIRIES && now >= suspect.inquire_at)
+            .filter(|(_, suspect)| suspect.repliers.len() >= quorum)
+            .max_by_key(|(_, suspect)| suspect.crashes.len())
+            .map(|(content, suspect)| (*content, suspect.crashes.clone()))
+    }
+
+    fn next_inquiry(&mut self, now: Time) -> Option<Inquiry> {
+        let number = self.inquiries + 1;
+        let explained = &self.explained;
+        let due = self
+            .entries
+            .iter_mut()
+            .filter(|(_, suspect)| suspect.is_suspected(explained) && now >= suspect.inquire_at)
+            .take(MAX_INQUIRY);
+        let mut content = Vec::new();
+        for (one, suspect) in due {
+            let extra = suspect.inquiries.saturating_sub(INQUIRIES);
+            suspect.inquire_at = now + INQUIRY_INTERVAL * (1 << extra.min(MAX_DOUBLINGS));
             suspect.inquiries += 1;
-            suspect.inquire_at = now + INQUIRY_INTERVAL;
-            findings.suspected.push(*content);
-            true
-        });
-        findings
+            let first = suspect.asked.map_or(number, |(first, _)| first);
+            suspect.asked = Some((first, number));
+            content.push(*one);
+        }
+        if content.is_empty() {
+            return None;
+        }
+        self.inquiries = number;
+        Some(Inquiry { number, content })
     }
 }
 
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -105,6 +105,8 @@
     Lost(Fault, String),
     /// The deadline passed.
     DeadlinePassed,
+    /// The request must not be sent any more.
+    Forbidden(Refusal),
 }
 
 impl<D> State<D>
@@ -198,14 +200,13 @@
                 address,
                 resources,
             } = self.wait_for_placement().await?;
-            // Its content may have been condemned while it waited.
-            self.check_quarantine()?;
             let upstream = placement.primary.clone();
             match self
                 .start_attempt(&placement, address, resources, resume)
                 .await
             {
                 Ok(attempt) => return Ok(attempt),
+                Err(AttemptError::Forbidden(refusal)) => return Err(refusal),
                 Err(AttemptError::DeadlinePassed) => return Err(self.deadline_refusal()),
                 Err(AttemptError::Unsent(detail)) => {
                     self.record_fault(&upstream, address, Fault::Unreachable, &detail);
@@ -288,6 +289,8 @@
                 "upstream or configuration no longer usable".to_owned(),
             ));
         }
+        // Its content may have been condemned while it waited.
+        self.check_quarantine().map_err(AttemptError::Forbidden)?;
         // A stop of this node is no reason for the upstream to end its work before the caller's deadline.
         let timeout = self.deadline.since(self.state.now());
         let request = self.build_request(upstream, timeout, &helpers, resume);
@@ -317,7 +320,7 @@
                     }
                     return Err(AttemptError::Unsent(detail));
                 }
-                self.on_broken_off_unanswered(upstream);
+                self.on_broken_off(upstream);
                 return Err(AttemptError::Lost(Fault::Broken, detail));
             }
         };
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -330,7 +330,11 @@
         drop(resources);
         match whole {
             Ok(whole) => {
-                self.on_answered();
+                // An error of an upstream does not show that the content is sound, and neither does
+                // a stream that did not begin.
+                if !head.status.is_server_error() && !self.route.is_streaming() {
+                    self.on_answered();
+                }
                 if head.status.is_server_error() {
                     self.record_fault(&upstream, address, Fault::Failed, head.status.as_str());
                 } else {
@@ -344,7 +348,7 @@
             }
             Err(error) => {
                 if !error.is::<LengthLimitError>() {
-                    self.on_broken_off_unanswered(&upstream);
+                    self.on_broken_off(&upstream);
                 }
                 let detail = error.to_string();
                 self.record_fault(&upstream, address, Fault::Broken, &detail);
--- a/crates/catkinusherd/src/gateway/peers/message.rs
+++ b/crates/catkinusherd/src/gateway/peers/message.rs
@@ -7,12 +7,11 @@
 
 use catkinusher_core::confirm::ConfirmReply;
 use catkinusher_core::feed::Batch;
-use catkinusher_core::fingerprint::Fingerprint;
 use catkinusher_core::fleet::{Cell, Load, Pressure};
 use catkinusher_core::id::{DataCentreId, ServiceId};
 use catkinusher_core::object::Version;
 use catkinusher_core::placer::{Answer, Ask};
-use catkinusher_core::poison::{CrashReport, QuarantineEntry};
+use catkinusher_core::poison::{CrashReport, Inquiry, InquiryReply, QuarantineEntry};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::net::UdpSocket;
@@ -146,10 +145,10 @@
     BrokenOff(CrashReport),
     /// Asks whether suspected content is known to be sound.
     #[serde(rename = "i")]
-    Inquiry(Vec<Fingerprint>),
-    /// Tells that it is.
+    Inquiry(Inquiry),
+    /// Tells what of it is.
     #[serde(rename = "s")]
-    Cleared(Vec<Fingerprint>),
+    InquiryReply(InquiryReply),
     /// Content that crashes upstreams.
     #[serde(rename = "x")]
     Quarantined(Vec<QuarantineEntry>),
--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -166,10 +166,10 @@
             Ok(Message::Ask(question)) => placing::on_question(&state, &socket, question, from),
             Ok(Message::Answer(answer)) => placing::deliver(&state, Some(from), answer),
             Ok(Message::BrokenOff(report)) => quarantine::on_report(&state, &report),
-            Ok(Message::Inquiry(content)) => {
-                quarantine::on_inquiry(&state, &socket, &content, from);
+            Ok(Message::Inquiry(inquiry)) => {
+                quarantine::on_inquiry(&state, &socket, &inquiry, from);
             }
-            Ok(Message::Cleared(content)) => quarantine::on_cleared(&state, &content),
+            Ok(Message::InquiryReply(reply)) => quarantine::on_reply(&state, &reply, from),
             Ok(Message::Quarantined(entries)) => quarantine::on_entries(&state, &entries),
             Ok(Message::Pressure(service, data_centre, pressure)) => {
                 let cell = Cell {
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -9,13 +9,16 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use catkinusher_core::confirm;
 use catkinusher_core::fingerprint::Fingerprint;
 use catkinusher_core::fleet::Fleet;
 use catkinusher_core::id::{PartId, UpstreamId};
+use catkinusher_core::object::Version;
 use catkinusher_core::outcome::Refusal;
-use catkinusher_core::poison::{Content, CrashReport, Findings, INQUIRY_INTERVAL, QuarantineEntry};
+use catkinusher_core::poison::{
+    Content, CrashReport, Findings, INQUIRY_INTERVAL, Inquiry, InquiryReply, QuarantineEntry,
+};
 use catkinusher_core::rendezvous::Salt;
-use catkinusher_core::roster::Duty;
 use catkinusher_platform::{Error, Priority, Store};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -36,6 +39,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 const MAX_DOUBLINGS: u32 = 4;
 
+/// How often all nodes are told about an entry, and the time between.
+const ANNOUNCEMENTS: u32 = 3;
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
+
 /// How often expired entries are removed from the store.
 const CLEAN_PERIOD: Duration = Duration::from_mins(10);
 
@@ -60,23 +67,18 @@
     now.unwrap_or_default().as_millis() as u64
 }
 
-fn duty() -> Duty {
-    Duty {
-        name: "quarantine".to_owned(),
-        data_centre: None,
-    }
-}
-
 impl<D> State<D> {
-    /// The nodes that collect reports of broken requests.
+    /// The nodes that collect reports of broken requests: those that also read the store, as all
+    /// nodes notice soon when one of these is lost.
     fn collectors(&self) -> Vec<SocketAddr> {
         self.roster()
-            .holders(&duty(), COLLECTORS, clock::boot_time())
+            .holders(&confirm::duty(), COLLECTORS, clock::boot_time())
     }
 
     /// Sends a message to all other nodes.
     fn broadcast(&self, socket: &UdpSocket, message: &Message) {
-        for peer in self.roster().peers() {
+        let peers = self.roster().peers();
+        for peer in peers {
             peers::send(socket, message, peer);
         }
     }
@@ -114,7 +116,7 @@
         }
     }
 
-    /// Records that an upstream has answered the request, at least with a first event.
+    /// Records that an upstream has answered the request without a crash.
     pub(super) fn on_answered(&self) {
         let now = self.state.now();
         self.state.detector().on_answered(&self.content, now);
@@ -122,7 +124,7 @@
 
     /// Reports that the connection to an upstream broke before the request was answered on it,
     /// as it does when the upstream crashes.
-    pub(super) fn on_broken_off_unanswered(&self, upstream: &UpstreamId) {
+    pub(super) fn on_broken_off(&self, upstream: &UpstreamId) {
         let now = self.state.now();
         let request = SALT.score("request", self.request_id());
         let short_id = Fleet::short_id(upstream);
@@ -162,29 +164,28 @@
     }
 }
 
-/// Answers a question about suspected content, if this node knows any of it to be sound.
+/// Answers a question about suspected content.
 pub(super) fn on_inquiry<D>(
     state: &State<D>,
     socket: &UdpSocket,
-    content: &[Fingerprint],
+    inquiry: &Inquiry,
     from: SocketAddr,
 ) {
-    let cleared = state.detector().cleared_among(content, state.now());
-    if !cleared.is_empty() {
-        peers::send(socket, &Message::Cleared(cleared), from);
-    }
+    let reply = state.detector().reply(inquiry, state.now());
+    peers::send(socket, &Message::InquiryReply(reply), from);
 }
 
-/// Takes over what another node knows to be sound.
-pub(super) fn on_cleared<D>(state: &State<D>, content: &[Fingerprint]) {
+/// Handles the answer to such a question.
+pub(super) fn on_reply<D>(state: &State<D>, reply: &InquiryReply, from: SocketAddr) {
     let now = state.now();
-    state.detector().on_answered(content, now);
+    state.detector().on_reply(reply, from, now);
 }
 
 /// Takes over entries of another node or of the store.
 pub(super) fn on_entries<D>(state: &State<D>, entries: &[QuarantineEntry]) {
     let now = state.now();
-    for content in state.detector().on_entries(entries, now) {
+    let new = state.detector().on_entries(entries, now);
+    for content in new {
         info!(event = "quarantine", %content, outcome = "learned");
     }
 }
@@ -233,23 +234,23 @@
         state.notifiers.suspected.notified().await;
         while state.detector().has_suspected() {
             let now = state.now();
-            let Findings {
-                suspected,
-                condemned,
-            } = state.detector().poll(now);
-            if !suspected.is_empty() {
-                info!(event = "quarantine", content = ?names(&suspected), outcome = "suspected");
-                state.broadcast(&socket, &Message::Inquiry(suspected));
+            let others = state.roster().len() - 1;
+            let Findings { inquiry, condemned } = state.detector().poll(others, now);
+            if let Some(inquiry) = inquiry {
+                info!(event = "quarantine", content = ?names(&inquiry.content), outcome = "suspected");
+                state.broadcast(&socket, &Message::Inquiry(inquiry));
             }
             for (content, crashes) in condemned {
                 info!(event = "quarantine", %content, crashes, outcome = "condemned");
-                let detector = state.detector();
-                let time = detector.quarantine_time();
-                let entry = detector.entry(content, crashes, time);
-                drop(detector);
-                state.broadcast(&socket, &Message::Quarantined(vec![entry]));
+                let time = state.detector().quarantine_time();
                 let until_ms = unix_millis() + time.as_millis() as u64;
                 let stored = StoredEntry { crashes, until_ms };
+                tokio::spawn(announce(
+                    Arc::clone(&state),
+                    Arc::clone(&socket),
+                    content,
+                    stored,
+                ));
                 tokio::spawn(keep::<D, S>(
                     Arc::clone(&state),
                     store.clone(),
@@ -266,6 +267,23 @@
     content.iter().map(Fingerprint::to_string).collect()
 }
 
+/// Tells all nodes about an entry, more than once, as datagrams may be lost.
+async fn announce<D>(
+    state: Arc<State<D>>,
+    socket: Arc<UdpSocket>,
+    content: Fingerprint,
+    stored: StoredEntry,
+) where
+    D: Dialect,
+{
+    for _ in 0..ANNOUNCEMENTS {
+        let left = stored.time_left();
+        let entry = state.detector().entry(content, stored.crashes, left);
+        state.broadcast(&socket, &Message::Quarantined(vec![entry]));
+        state.timers.after(ANNOUNCE_INTERVAL).await;
+    }
+}
+
 /// Writes an entry to the store, and repeats that until the store has it.
 async fn keep<D, S>(
     state: Arc<State<D>>,
@@ -279,8 +297,13 @@
     let mut failures = 0;
     while !stored.time_left().is_zero() {
         match store.create(S::QUARANTINE, &name, &stored).await {
-            // Another node that collects reports was first.
-            Ok(_) | Err(Error::Conflict { .. }) => return,
+            Ok(_) => return,
+            Err(Error::Conflict { standing }) => {
+                if replace_expired::<S>(&store, &name, &stored, standing).await {
+                    return;
+                }
+                state.timers.after(RETRY_PAUSE).await;
+            }
             Err(error) => {
                 if failures == 0 {
                     warn!(event = "quarantine", %content, outcome = "not-stored", %error);
@@ -293,6 +316,27 @@
     }
 }
 
+/// Replaces an entry of the store that has expired, and returns whether the store has a valid one.
+async fn replace_expired<S>(
+    store: &Store<S::Form>,
+    name: &str,
+    stored: &StoredEntry,
+    standing: Version,
+) -> bool
+where
+    S: StoreSchema,
+{
+    match store.get::<StoredEntry>(S::QUARANTINE, name).await {
+        // Another node that collects reports was first.
+        Ok(Some(object)) if !object.value.time_left().is_zero() => true,
+        Ok(Some(_)) => {
+            let updated = store.update(S::QUARANTINE, name, stored, standing).await;
+            updated.is_ok()
+        }
+        Ok(None) | Err(_) => false,
+    }
+}
+
 /// Removes expired entries from the store, while this node is the first that collects reports.
 async fn remove_expired<D, S>(state: Arc<State<D>>, store: Store<S::Form>)
 where
@@ -313,7 +357,9 @@
         };
         for object in listing.objects {
             if object.value.time_left().is_zero()
-                && let Err(error) = store.delete(S::QUARANTINE, &object.name, None).await
+                && let Err(error) = store
+                    .delete(S::QUARANTINE, &object.name, Some(object.version))
+                    .await
             {
                 debug!("quarantine: cannot remove `{}`: {error}", object.name);
             }
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -93,7 +93,7 @@
         } else {
             stall_timeout(&job)
         };
-        let last_event = arrivals.last;
+        let before = events.count();
         let end = forward_events(
             &job,
             &mut attempt,
@@ -103,12 +103,15 @@
             stall_timeout,
         )
         .await;
-        if matches!(end, StreamEnd::BrokenOff(_)) && arrivals.last == last_event {
-            job.on_broken_off_unanswered(&upstream);
+        if matches!(end, StreamEnd::BrokenOff(_)) && events.count() <= before + 1 {
+            job.on_broken_off(&upstream);
         }
         match end {
             StreamEnd::Whole => {
                 let now = job.state.now();
+                if is_framed(&attempt.response) {
+                    job.on_answered();
+                }
                 job.state.fleet().on_success(&upstream, now);
                 job.state
                     .return_to_pool(address, attempt.sender, keep_alive);
@@ -191,9 +194,9 @@
     D: Dialect,
 {
     let timers = job.state.timers.clone();
-    let headers = attempt.response.headers();
-    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-    let begun = arrivals.last;
+    let is_framed = is_framed(&attempt.response);
+    let begun = events.count();
+    let mut is_cleared = false;
     // A server that stalls may send a byte now and then, so only whole events count.
     let mut last_event = job.state.now();
     let mut stall_timer = std::pin::pin!(timers.at((last_event + stall_timeout).min(job.deadline)));
@@ -209,10 +212,12 @@
                         continue;
                     }
                     last_event = job.state.now();
-                    if arrivals.last.is_none() {
+                    arrivals.on_event(last_event);
+                    // The upstream may crash with the first event on its way.
+                    if !is_cleared && events.count() >= begun + 2 {
+                        is_cleared = true;
                         job.on_answered();
                     }
-                    arrivals.on_event(last_event);
                     attempt.resources.on_read();
                     if caller.send(Ok(whole.into())).await.is_err() {
                         return StreamEnd::ClientLeft;
@@ -220,7 +225,7 @@
                 }
                 Some(Err(error)) => return StreamEnd::BrokenOff(error.to_string()),
                 // The end of a connection alone does not prove that a stream without events is complete.
-                None if arrivals.last == begun && !is_framed => {
+                None if events.count() == begun && !is_framed => {
                     return StreamEnd::BrokenOff("stream ended before its first event".to_owned());
                 }
                 None if events.is_at_boundary() => return StreamEnd::Whole,
@@ -241,6 +246,12 @@
     }
 }
 
+/// Whether the end of the response shows that it is complete, rather than the end of its connection.
+fn is_framed(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 async fn next_data(response: &mut Response<Incoming>) -> Option<Result<Bytes, hyper::Error>> {
     loop {
         match response.body_mut().frame().await? {
