Log a stream that goes on after a failed resumption as one that answers

Cause: a stalled stream looks for another upstream; when that is refused, the old one goes on, and its stage stayed at the last wait. Change: the stage is set back. Only the log line changes.

--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -18,6 +18,7 @@
 use super::attempt::ActiveAttempt;
 use super::dialect::Dialect;
 use super::handle::Job;
+use super::open::Stage;
 
 /// The number of events queued for a slow caller before reading from its upstream pauses.
 const EVENT_QUEUE: usize = 16;
@@ -138,7 +139,10 @@
                         events.discard_partial();
                         attempt = next;
                     }
-                    Ok(_) | Err(_) => ignore_stalls = true,
+                    Ok(_) | Err(_) => {
+                        ignore_stalls = true;
+                        job.enter(Stage::Answer);
+                    }
                 }
             }
             StreamEnd::BrokenOff(detail) | StreamEnd::Malformed(detail) => {
@@ -162,6 +166,14 @@
             }
         }
     };
+    log_end(&job, outcome, &arrivals, events.last());
+}
+
+/// Logs and counts a stream that has ended.
+fn log_end<D>(job: &Job<D>, outcome: &'static str, arrivals: &EventTimes, last: Option<u64>)
+where
+    D: Dialect,
+{
     let took = job.state.now().since(job.received);
     job.state.metrics.on_request_end(job.kind(), outcome, took);
     if let Some(first) = arrivals.first {
@@ -175,7 +187,7 @@
         outcome,
         sends = job.sends,
         prompt = job.ask.prompt.get(),
-        last = events.last(),
+        last,
         first_ms = arrivals.first.map(since),
         pause_ms = arrivals.longest_pause.as_millis() as u64,
         ms = since(job.state.now()),
