Let entries of other nodes explain crashes, too

What callers saw: nothing. Two nodes collect reports. The one that learned from the other that a part is condemned still held its crashes against the whole requests and rare parts that came with it, and could condemn these. Cause: only a node's own verdict explained crashes. Change: an entry of another node or of the store does as well. Entries of proven content have one constructor. Evidence: `what_another_node_condemned_explains_crashes`; `tainted` and `detector` pass.

--- a/crates/catkinusher-core/src/poison/detector.rs
+++ b/crates/catkinusher-core/src/poison/detector.rs
@@ -1,10 +1,9 @@
 //! Detection of content that crashes upstreams where no node sees all requests of an upstream.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use super::suspects::{Cleared, CrashReport, Findings, Inquiry, InquiryReply, Suspects};
-use super::{CrashScore, Policy, Quarantine, QuarantineEntry, Verdict};
+use super::{Policy, Quarantine, QuarantineEntry, Verdict};
 use crate::fingerprint::Fingerprint;
 use crate::time::Time;
 use crate::units::Span;
@@ -142,23 +141,14 @@
         let findings = self.suspects.poll(suspicion, others, now);
         let condemned = findings.condemned.iter();
         let entries: Vec<_> = condemned
-            .map(|(content, crashes)| self.entry(*content, *crashes, self.policy.quarantine.get()))
+            .map(|(content, crashes)| {
+                QuarantineEntry::proven(*content, *crashes, self.policy.quarantine)
+            })
             .collect();
         self.quarantine.merge(&entries, now);
         findings
     }
 
-    /// The quarantine entry of content that crashed upstreams, with the time that is left of it.
-    #[must_use]
-    pub fn entry(&self, content: Fingerprint, crashes: u32, left: Duration) -> QuarantineEntry {
-        QuarantineEntry {
-            fingerprint: content,
-            blamed: CrashScore::of_crashes(crashes),
-            pardoned: CrashScore::ZERO,
-            life: Span::new(left),
-        }
-    }
-
     /// Takes over entries that another node or the store has, and returns those that are new.
     pub fn on_entries(&mut self, entries: &[QuarantineEntry], now: Time) -> Vec<Fingerprint> {
         let contents = entries.iter().map(|entry| entry.fingerprint);
@@ -166,7 +156,7 @@
             .filter(|one| self.refused_for(&[*one], now).is_none())
             .collect();
         for entry in entries {
-            self.suspects.remove(entry.fingerprint);
+            self.suspects.on_condemned(entry.fingerprint);
         }
         self.quarantine.on_time(now);
         self.quarantine.merge(entries, now);
@@ -186,7 +176,7 @@
 
     /// The time for which condemned content is refused.
     #[must_use]
-    pub const fn quarantine_time(&self) -> Duration {
-        self.policy.quarantine.get()
+    pub const fn quarantine_time(&self) -> Span {
+        self.policy.quarantine
     }
 }
--- a/crates/catkinusher-core/src/poison/entry.rs
+++ b/crates/catkinusher-core/src/poison/entry.rs
@@ -75,6 +75,19 @@
     pub life: Span,
 }
 
+impl QuarantineEntry {
+    /// The entry of content that is proven to have crashed upstreams, with the time that is left of it.
+    #[must_use]
+    pub const fn proven(content: Fingerprint, crashes: u32, left: Span) -> Self {
+        Self {
+            fingerprint: content,
+            blamed: CrashScore::of_crashes(crashes),
+            pardoned: CrashScore::ZERO,
+            life: left,
+        }
+    }
+}
+
 /// A score stored as two sums that only grow and merge by maximum, so that merging converges in
 /// any order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/crates/catkinusher-core/src/poison/suspects.rs
+++ b/crates/catkinusher-core/src/poison/suspects.rs
@@ -44,8 +44,10 @@
 /// The most doublings of that time while too few nodes answer.
 const MAX_DOUBLINGS: u32 = 5;
 
-/// The number of crashes that are kept of one suspect, and of those whose cause is known.
+/// The number of crashes that are kept of one suspect.
 const MAX_CRASHES: usize = 64;
+
+/// The number of crashes that are kept whose cause is known.
 const MAX_EXPLAINED: usize = 256;
 
 /// The number of suspects that are kept.
@@ -220,6 +222,13 @@
         self.explain(&BTreeSet::from([crash]));
     }
 
+    /// Takes over that a suspect was condemned elsewhere.
+    pub(super) fn on_condemned(&mut self, content: Fingerprint) {
+        if let Some(suspect) = self.entries.remove(&content) {
+            self.explain(&suspect.crashes);
+        }
+    }
+
     /// Takes crashes with a known cause from all suspects.
     fn explain(&mut self, crashes: &BTreeSet<u32>) {
         self.explained.extend(crashes);
@@ -258,16 +267,15 @@
         let mut condemned = Vec::new();
         // One at a time, as the crashes that the first explains may be all there is against the next.
         while let Some((content, crashes)) = self.next_condemned(others, now) {
-            self.entries.remove(&content);
-            condemned.push((content, crashes.len() as u32));
-            self.explain(&crashes);
+            condemned.push((content, crashes));
+            self.on_condemned(content);
         }
         let inquiry = self.next_inquiry(now);
         Findings { inquiry, condemned }
     }
 
     /// The suspect with the most crashes, if enough nodes have replied and none has cleared it.
-    fn next_condemned(&self, others: usize, now: Time) -> Option<(Fingerprint, BTreeSet<u32>)> {
+    fn next_condemned(&self, others: usize, now: Time) -> Option<(Fingerprint, u32)> {
         let quorum = (others as f64 * QUORUM).ceil() as usize;
         self.entries
             .iter()
@@ -275,7 +283,7 @@
             .filter(|(_, suspect)| suspect.inquiries >= INQUIRIES && now >= suspect.inquire_at)
             .filter(|(_, suspect)| suspect.repliers.len() >= quorum)
             .max_by_key(|(_, suspect)| suspect.crashes.len())
-            .map(|(content, suspect)| (*content, suspect.crashes.clone()))
+            .map(|(content, suspect)| (*content, suspect.crashes.len() as u32))
     }
 
     fn next_inquiry(&mut self, now: Time) -> Option<Inquiry> {
--- a/crates/catkinusher-core/tests/detector.rs
+++ b/crates/catkinusher-core/tests/detector.rs
@@ -183,6 +183,18 @@
     assert!(!detector.has_suspected());
 }
 
+#[test]
+fn what_another_node_condemned_explains_crashes() {
+    let mut detector = Detector::new(Policy::default());
+    let [dead, rare] = [part("dead"), part("rare")];
+    for (upstream, at) in [(1, 0), (2, 400), (3, 800)] {
+        detector.on_report(&report(upstream, upstream.into(), &[dead, rare]), ms(at));
+    }
+    let entry = QuarantineEntry::proven(dead, 3, Span::from_secs(60));
+    detector.on_entries(&[entry], ms(900));
+    assert!(!detector.has_suspected());
+}
+
 #[test]
 fn content_that_was_sound_long_ago_is_suspected_again() {
     let mut detector = Detector::new(Policy::default());
@@ -196,7 +208,7 @@
 fn entries_of_other_nodes_are_taken_over_until_they_are_released() {
     let mut detector = Detector::new(Policy::default());
     let content = [part("a"), part("b")];
-    let entry = detector.entry(content[0], 3, Duration::from_mins(1));
+    let entry = QuarantineEntry::proven(content[0], 3, Span::from_secs(60));
     assert_eq!(detector.on_entries(&[entry], ms(0)), content[..1]);
     assert_eq!(detector.on_entries(&[entry], ms(1)), []);
     assert_eq!(
@@ -348,11 +360,8 @@
             let mut entries: Vec<QuarantineEntry> = Vec::new();
             for (content, crashes) in findings.condemned {
                 self.counts.condemned.insert(content);
-                entries.push(self.nodes[collector].entry(
-                    content,
-                    crashes,
-                    Duration::from_hours(1),
-                ));
+                let left = Span::from_secs(3600);
+                entries.push(QuarantineEntry::proven(content, crashes, left));
             }
             self.stored
                 .extend(entries.iter().map(|entry| (step + READ_STEPS, *entry)));
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -19,6 +19,7 @@
     Content, CrashReport, Findings, INQUIRY_INTERVAL, Inquiry, InquiryReply, QuarantineEntry,
 };
 use catkinusher_core::rendezvous::Salt;
+use catkinusher_core::units::Span;
 use catkinusher_platform::{Error, Priority, Store};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -35,12 +36,16 @@
 /// The nodes that collect reports; a second one goes on if the first is lost.
 const COLLECTORS: usize = 2;
 
-/// The pause after the first failed write, and the number of its doublings.
+/// The pause after the first failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// The most doublings of that pause.
 const MAX_DOUBLINGS: u32 = 4;
 
-/// How often all nodes are told about an entry, and the time between.
+/// How often all nodes are told about an entry.
 const ANNOUNCEMENTS: u32 = 3;
+
+/// The time between two announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// How often expired entries are removed from the store.
@@ -196,7 +201,7 @@
     if left.is_zero() {
         return;
     }
-    let entry = state.detector().entry(content, stored.crashes, left);
+    let entry = QuarantineEntry::proven(content, stored.crashes, Span::new(left));
     on_entries(state, &[entry]);
 }
 
@@ -243,7 +248,7 @@
             for (content, crashes) in condemned {
                 info!(event = "quarantine", %content, crashes, outcome = "condemned");
                 let time = state.detector().quarantine_time();
-                let until_ms = unix_millis() + time.as_millis() as u64;
+                let until_ms = unix_millis() + time.get().as_millis() as u64;
                 let stored = StoredEntry { crashes, until_ms };
                 tokio::spawn(announce(
                     Arc::clone(&state),
@@ -277,8 +282,8 @@
     D: Dialect,
 {
     for _ in 0..ANNOUNCEMENTS {
-        let left = stored.time_left();
-        let entry = state.detector().entry(content, stored.crashes, left);
+        let left = Span::new(stored.time_left());
+        let entry = QuarantineEntry::proven(content, stored.crashes, left);
         state.broadcast(&socket, &Message::Quarantined(vec![entry]));
         state.timers.after(ANNOUNCE_INTERVAL).await;
     }
