Do not let a prompt that comes again hide its deadly part

Cause: the first poisoned prompt was sent twice, and its caller repeated it, before another one came. The prompt as a whole and its part then had the same four crashes; the prompt was condemned, and as that explained the crashes, the part was suspected from the start again, twice. Change: a condemned request explains crashes for other requests only, not for its parts. A part needs crashes in different requests, so a prompt that comes again does not condemn the sound parts that it has. Content of one kind with the same crashes is condemned together. One crash more is needed for each 2 s rather than 5 s where other content crashes more often.

--- a/crates/catkinusher-core/src/poison/content.rs
+++ b/crates/catkinusher-core/src/poison/content.rs
@@ -21,7 +21,7 @@
 }
 
 impl Content<'_> {
-    /// The fingerprints of the shared parts, and of the request as a whole.
+    /// The fingerprints of the shared parts, and last that of the request as a whole.
     ///
     /// The body is hashed with a fast function, as bodies are large. A customer that
     /// looks for collisions finds only its own requests, as the customer is part of
--- a/crates/catkinusher-core/src/poison/detector.rs
+++ b/crates/catkinusher-core/src/poison/detector.rs
@@ -57,10 +57,8 @@
         }
     }
 
-    /// The report for a request with this content that broke off unanswered, unless all of it is
-    /// known to be sound.
-    ///
-    /// Content in quarantine explains the crash, so the rest is not reported.
+    /// The report for a request with this content that broke off unanswered, unless the request is
+    /// known to be sound; the content is that of [`Content::fingerprints`](super::Content::fingerprints).
     #[must_use]
     pub fn report(
         &self,
@@ -69,17 +67,22 @@
         content: &[Fingerprint],
         now: Time,
     ) -> Option<CrashReport> {
-        let content: Vec<Fingerprint> =
-            if let Some(condemned) = content.iter().find(|one| self.is_condemned(**one, now)) {
-                vec![*condemned]
-            } else {
-                let unknown = content.iter().filter(|one| !self.is_cleared(**one, now));
-                unknown.copied().collect()
-            };
-        (!content.is_empty()).then_some(CrashReport {
+        let (whole, parts) = content.split_last()?;
+        if self.is_cleared(*whole, now) {
+            return None;
+        }
+        let condemned = parts.iter().find(|part| self.is_condemned(**part, now));
+        let parts = if let Some(condemned) = condemned {
+            vec![*condemned]
+        } else {
+            let unknown = parts.iter().filter(|part| !self.is_cleared(**part, now));
+            unknown.copied().collect()
+        };
+        Some(CrashReport {
             upstream,
             request,
-            content,
+            parts,
+            whole: *whole,
         })
     }
 
@@ -93,19 +96,14 @@
 
     /// Records a report of a node.
     pub fn on_report(&mut self, report: &CrashReport, now: Time) {
-        let CrashReport {
-            upstream,
-            request,
-            content,
-        } = report;
-        if content.iter().any(|one| self.is_condemned(*one, now)) {
+        let mut parts = report.parts.iter();
+        if parts.any(|part| self.is_condemned(*part, now)) {
             self.suspects.on_explained(now);
             return;
         }
-        let unknown = content.iter().copied();
-        let unknown: Vec<_> = unknown.filter(|one| !self.is_cleared(*one, now)).collect();
-        self.suspects
-            .on_crash(unknown.into_iter(), *upstream, *request, now);
+        let mut report = report.clone();
+        report.parts.retain(|part| !self.is_cleared(*part, now));
+        self.suspects.on_crash(&report, now);
     }
 
     /// The reply to another node's inquiry, by what this node itself saw.
--- a/crates/catkinusher-core/src/poison/suspects.rs
+++ b/crates/catkinusher-core/src/poison/suspects.rs
@@ -17,9 +17,11 @@
 const CRASHES_BY_CHANCE: usize = 8;
 
 /// The time that raises the number needed by one, whatever else crashes: other content may be deadly, too.
-const TIME_BY_CHANCE: Duration = Duration::from_secs(5);
+const TIME_BY_CHANCE: Duration = Duration::from_secs(2);
 
 /// The number of requests that must have been broken off, as one request may only be unlucky.
+///
+/// For a part these are different ones, as its parts cannot be told from a request that comes again.
 const MIN_REQUESTS: usize = 2;
 
 /// Crashes closer together than this count once, as they may have one cause, such as a lost data centre.
@@ -67,25 +69,29 @@
     pub upstream: u32,
     /// A hash of the request's ID.
     pub request: u64,
-    /// The content of the request that the node does not know to be sound.
-    pub content: Vec<Fingerprint>,
+    /// The shared parts of the request that the node does not know to be sound, or one that is
+    /// condemned.
+    pub parts: Vec<Fingerprint>,
+    /// The request as a whole.
+    pub whole: Fingerprint,
 }
 
 /// The fields of a [`CrashReport`] in order.
-type ReportRow = (u32, u64, Vec<Fingerprint>);
+type ReportRow = (u32, u64, Vec<Fingerprint>, Fingerprint);
 
 impl From<CrashReport> for ReportRow {
     fn from(report: CrashReport) -> Self {
-        (report.upstream, report.request, report.content)
+        (report.upstream, report.request, report.parts, report.whole)
     }
 }
 
 impl From<ReportRow> for CrashReport {
-    fn from((upstream, request, content): ReportRow) -> Self {
+    fn from((upstream, request, parts, whole): ReportRow) -> Self {
         Self {
             upstream,
             request,
-            content,
+            parts,
+            whole,
         }
     }
 }
@@ -119,6 +125,8 @@
 
 #[derive(Debug, Clone, Default)]
 struct Suspect {
+    /// Whether it is a request as a whole, rather than a part.
+    is_whole: bool,
     /// The numbers of the crashes, and when the first and the last of them were.
     crashes: BTreeSet<u32>,
     first_at: Time,
@@ -154,7 +162,7 @@
     }
 
     /// Whether it is in too many crashes for chance; `explained` are those with another cause.
-    fn is_suspected(&self, explained: &BTreeSet<u32>) -> bool {
+    fn is_suspected(&self, explained: &BTreeMap<u32, Cause>) -> bool {
         let (Some(first), Some(last)) = (self.crashes.first(), self.crashes.last()) else {
             return false;
         };
@@ -165,12 +173,35 @@
             && self.requests.len() >= MIN_REQUESTS
     }
 
+    const fn cause(&self) -> Cause {
+        if self.is_whole {
+            Cause::Whole
+        } else {
+            Cause::Part
+        }
+    }
+
     fn was_asked(&self, number: u64) -> bool {
         self.asked
             .is_some_and(|(first, last)| (first..=last).contains(&number))
     }
 }
 
+/// The condemned content that explains a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    Part,
+    /// A request as a whole, any part of which may be the cause.
+    Whole,
+}
+
+impl Cause {
+    /// Whether it leaves nothing against a suspect.
+    fn exonerates(self, suspect: &Suspect) -> bool {
+        self == Self::Part || suspect.is_whole
+    }
+}
+
 /// The content of requests that broke off, as far as no node is known to have seen it answered.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Suspects {
@@ -179,7 +210,7 @@
     crash: u32,
     crashed_at: Time,
     /// The crashes in which a request had content that was condemned.
-    explained: BTreeSet<u32>,
+    explained: BTreeMap<u32, Cause>,
     inquiries: u64,
 }
 
@@ -193,17 +224,22 @@
     }
 
     /// Records a crash, and the content of a request that it broke off.
-    pub(super) fn on_crash<I>(&mut self, content: I, upstream: u32, request: u64, now: Time)
-    where
-        I: Iterator<Item = Fingerprint>,
-    {
+    pub(super) fn on_crash(&mut self, report: &CrashReport, now: Time) {
         let crash = self.number_crash(now);
-        if self.explained.contains(&crash) {
-            return;
-        }
-        for one in content {
-            let suspect = self.entries.entry(one).or_default();
-            suspect.on_crash(crash, upstream, request, now);
+        let CrashReport {
+            upstream,
+            request,
+            parts,
+            whole,
+        } = report;
+        let parts = parts.iter().map(|part| (*part, false, whole.spread()));
+        for (content, is_whole, request) in parts.chain([(*whole, true, *request)]) {
+            let suspect = self.entries.entry(content).or_default();
+            suspect.is_whole = is_whole;
+            let cause = self.explained.get(&crash);
+            if !cause.is_some_and(|cause| cause.exonerates(suspect)) {
+                suspect.on_crash(crash, *upstream, request, now);
+            }
         }
         while self.entries.len() > MAX_SUSPECTS {
             let least = self
@@ -216,27 +252,34 @@
         }
     }
 
-    /// Records a crash of a request with condemned content.
+    /// Records a crash of a request with a condemned part.
     pub(super) fn on_explained(&mut self, now: Time) {
         let crash = self.number_crash(now);
-        self.explain(&BTreeSet::from([crash]));
+        self.explain(&BTreeSet::from([crash]), Cause::Part);
     }
 
     /// Takes over that a suspect was condemned elsewhere.
     pub(super) fn on_condemned(&mut self, content: Fingerprint) {
         if let Some(suspect) = self.entries.remove(&content) {
-            self.explain(&suspect.crashes);
+            self.explain(&suspect.crashes, suspect.cause());
         }
     }
 
-    /// Takes crashes with a known cause from all suspects.
-    fn explain(&mut self, crashes: &BTreeSet<u32>) {
-        self.explained.extend(crashes);
+    /// Takes crashes with a known cause from the suspects that it exonerates.
+    fn explain(&mut self, crashes: &BTreeSet<u32>, cause: Cause) {
+        for crash in crashes {
+            let known = self.explained.entry(*crash).or_insert(cause);
+            if cause == Cause::Part {
+                *known = cause;
+            }
+        }
         while self.explained.len() > MAX_EXPLAINED {
             self.explained.pop_first();
         }
         self.entries.retain(|_, suspect| {
-            suspect.crashes.retain(|crash| !crashes.contains(crash));
+            if cause.exonerates(suspect) {
+                suspect.crashes.retain(|crash| !crashes.contains(crash));
+            }
             !suspect.crashes.is_empty()
         });
     }
@@ -265,25 +308,31 @@
         self.entries
             .retain(|_, suspect| now.since(suspect.last_at) < suspicion);
         let mut condemned = Vec::new();
-        // One at a time, as the crashes that the first explains may be all there is against the next.
-        while let Some((content, crashes)) = self.next_condemned(others, now) {
-            condemned.push((content, crashes));
-            self.on_condemned(content);
+        // In turn, as the crashes that the first explain may be all there is against the next.
+        while let Some(first) = self.next_condemned(others, now) {
+            let is_like = |suspect: &Suspect| {
+                suspect.crashes == first.crashes && suspect.is_whole == first.is_whole
+            };
+            let alike = self.entries.extract_if(.., |_, suspect| is_like(suspect));
+            condemned.extend(alike.map(|(one, _)| (one, first.crashes.len() as u32)));
+            self.explain(&first.crashes, first.cause());
         }
         let inquiry = self.next_inquiry(now);
         Findings { inquiry, condemned }
     }
 
     /// The suspect with the most crashes, if enough nodes have replied and none has cleared it.
-    fn next_condemned(&self, others: usize, now: Time) -> Option<(Fingerprint, u32)> {
+    ///
+    /// Others with the same crashes cannot be told from it, so they are condemned together.
+    fn next_condemned(&self, others: usize, now: Time) -> Option<Suspect> {
         let quorum = (others as f64 * QUORUM).ceil() as usize;
-        self.entries
-            .iter()
-            .filter(|(_, suspect)| suspect.is_suspected(&self.explained))
-            .filter(|(_, suspect)| suspect.inquiries >= INQUIRIES && now >= suspect.inquire_at)
-            .filter(|(_, suspect)| suspect.repliers.len() >= quorum)
-            .max_by_key(|(_, suspect)| suspect.crashes.len())
-            .map(|(content, suspect)| (*content, suspect.crashes.len() as u32))
+        let suspect = self
+            .entries
+            .values()
+            .filter(|suspect| suspect.is_suspected(&self.explained))
+            .max_by_key(|suspect| (suspect.crashes.len(), !suspect.is_whole))?;
+        let is_asked = suspect.inquiries >= INQUIRIES && now >= suspect.inquire_at;
+        (is_asked && suspect.repliers.len() >= quorum).then(|| suspect.clone())
     }
 
     fn next_inquiry(&mut self, now: Time) -> Option<Inquiry> {
--- a/crates/catkinusher-core/tests/detector.rs
+++ b/crates/catkinusher-core/tests/detector.rs
@@ -35,11 +35,13 @@
     Fingerprint::of([name.as_bytes()])
 }
 
-fn report(upstream: u32, request: u64, content: &[Fingerprint]) -> CrashReport {
+/// A report on a request that no other one resembles.
+fn report(upstream: u32, request: u64, parts: &[Fingerprint]) -> CrashReport {
     CrashReport {
         upstream,
         request,
-        content: content.to_vec(),
+        parts: parts.to_vec(),
+        whole: part(&format!("request {request}")),
     }
 }
 
@@ -111,7 +113,9 @@
     let content = [part("a")];
     let mut before = Detector::new(Policy::default());
     before.on_answered(&content, ms(0));
-    assert_eq!(before.report(1, 1, &content, ms(1)), None);
+    let unknown = report(1, 1, &[]);
+    let broken = [content[0], part("request 1")];
+    assert_eq!(before.report(1, 1, &broken, ms(1)), Some(unknown));
     assert_eq!(judge(&mut before, &crashes, &content), 0);
     let mut during = Detector::new(Policy::default());
     for (upstream, (at, request)) in crashes.iter().enumerate() {
@@ -183,6 +187,35 @@
     assert!(!detector.has_suspected());
 }
 
+#[test]
+fn a_prompt_that_comes_again_hides_no_part_and_condemns_no_sound_one() {
+    let mut detector = Detector::new(Policy::default());
+    let [dead, rare] = [part("dead"), part("rare")];
+    // Its caller repeats the prompt once, and each time it is sent to two upstreams.
+    for (upstream, (at, request)) in [(0, 1), (300, 1), (600, 2), (900, 2)]
+        .into_iter()
+        .enumerate()
+    {
+        let broken = CrashReport {
+            whole: part("the prompt"),
+            ..report(upstream as u32, request, &[dead, rare])
+        };
+        detector.on_report(&broken, ms(at));
+    }
+    let condemned = |detector: &mut Detector, from: u64| -> BTreeSet<Fingerprint> {
+        (from..from + 800)
+            .step_by(100)
+            .flat_map(|at| detector.poll(0, ms(at)).condemned)
+            .map(|(content, _)| content)
+            .collect()
+    };
+    let first = condemned(&mut detector, 900);
+    assert_eq!(first, BTreeSet::from([part("the prompt")]));
+    detector.on_report(&report(9, 3, &[dead]), ms(2000));
+    let second = condemned(&mut detector, 2000);
+    assert_eq!(second, BTreeSet::from([dead]));
+}
+
 #[test]
 fn what_another_node_condemned_explains_crashes() {
     let mut detector = Detector::new(Policy::default());
@@ -215,9 +248,10 @@
         detector.refused_for(&content, ms(10_001)),
         Some(Span::from_secs(50))
     );
-    // The condemned content explains the crash.
+    // The condemned part explains the crash.
+    let broken = [content[0], part("c"), part("request 1")];
     let explained = report(1, 1, &content[..1]);
-    assert_eq!(detector.report(1, 1, &content, ms(2)), Some(explained));
+    assert_eq!(detector.report(1, 1, &broken, ms(2)), Some(explained));
     assert!(detector.release(content[0]));
     assert_eq!(detector.refused_for(&content, ms(3)), None);
 }
@@ -246,6 +280,8 @@
 
 /// A request in prefill on an engine.
 struct Running {
+    /// Whether it is a repetition, of which there is one.
+    is_repeat: bool,
     node: usize,
     request: u64,
     engine: u32,
@@ -270,17 +306,20 @@
     /// The entries in the store, with the step at which all nodes have read them.
     stored: Vec<(u64, QuarantineEntry)>,
     deadly: BTreeSet<Fingerprint>,
+    /// Whether callers repeat requests that broke off.
+    repeats: bool,
     counts: Counts,
     rng: ChaCha8Rng,
 }
 
 impl Fleet {
-    fn new(seed: u64, deadly: usize) -> Self {
+    fn new(seed: u64, deadly: usize, repeats: bool) -> Self {
         Self {
             nodes: vec![Detector::new(Policy::default()); NODES],
             running: Vec::new(),
             next: 0,
             stored: Vec::new(),
+            repeats,
             deadly: (0..deadly).map(deadly_part).collect(),
             counts: Counts::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -291,7 +330,8 @@
         !self.rng.random_ratio(1, LOSS)
     }
 
-    fn send(&mut self, step: u64, content: Vec<Fingerprint>, is_deadly: bool) {
+    /// Sends a prompt with these parts, and its whole as the last if it comes again.
+    fn send(&mut self, step: u64, mut content: Vec<Fingerprint>, is_repeat: bool) {
         let sender = self.rng.random_range(0..NODES);
         if self.nodes[sender]
             .refused_for(&content, Time::ZERO + STEP * step as u32)
@@ -300,12 +340,16 @@
             self.counts.refused += 1;
             return;
         }
-        if is_deadly {
+        if content.iter().any(|one| self.deadly.contains(one)) {
             self.counts.deadly.push(step);
         }
         self.next += 1;
+        if !is_repeat {
+            content.push(part(&format!("request {}", self.next)));
+        }
         let begins = step + self.rng.random_range(4..20);
         self.running.push(Running {
+            is_repeat,
             node: sender,
             request: self.next,
             engine: self.rng.random_range(0..ENGINES),
@@ -321,6 +365,11 @@
             .running
             .extract_if(.., |one| one.engine == engine)
             .collect();
+        let repeats: Vec<_> = broken
+            .iter()
+            .filter(|one| self.repeats && !one.is_repeat)
+            .map(|one| one.content.clone())
+            .collect();
         for one in broken {
             // The upstream has a new id after each crash.
             let upstream = engine + 100 * self.counts.crashes.len() as u32;
@@ -332,6 +381,9 @@
                 }
             }
         }
+        for content in repeats {
+            self.send(step, content, true);
+        }
     }
 
     /// Begins the answers that are due, each of which crashes its engine if it has the deadly part.
@@ -387,8 +439,8 @@
 
 /// Plays 40 s in which a poisoned request comes each `poison_every` steps, with one of `deadly`
 /// parts in turn, and an engine crashes by chance once in `chance` steps.
-fn play(seed: u64, deadly: usize, poison_every: u64, chance: u32) -> Counts {
-    let mut fleet = Fleet::new(seed, deadly);
+fn play(seed: u64, deadly: usize, repeats: bool, poison_every: u64, chance: u32) -> Counts {
+    let mut fleet = Fleet::new(seed, deadly, repeats);
     let mut poisoned = 0;
     for step in 0..2_000 {
         for _ in 0..2 {
@@ -399,7 +451,7 @@
             let mut content = pick(&mut fleet.rng);
             content.insert(1, deadly_part(poisoned % deadly));
             poisoned += 1;
-            fleet.send(step, content, true);
+            fleet.send(step, content, false);
         }
         if fleet.rng.random_ratio(1, chance) {
             let engine = fleet.rng.random_range(0..ENGINES);
@@ -425,7 +477,7 @@
 fn only_the_deadly_part_is_condemned_and_soon() {
     for seed in 0..20 {
         for poison_every in [2, 10, 30, 100] {
-            let counts = play(seed, 1, poison_every, 100);
+            let counts = play(seed, 1, true, poison_every, 100);
             let case = format!("seed {seed}, each {poison_every} steps: {counts:?}");
             assert_eq!(counts.condemned, BTreeSet::from([deadly_part(0)]), "{case}");
             // Crashes by chance are among the crashes, so the fifth is no later than the fifth deadly one.
@@ -442,16 +494,29 @@
 #[test]
 fn several_deadly_parts_are_all_condemned() {
     for seed in 0..10 {
-        let counts = play(seed, 12, 4, 100);
+        let counts = play(seed, 12, false, 4, 100);
         let deadly: BTreeSet<_> = (0..12).map(deadly_part).collect();
         assert_eq!(counts.condemned, deadly, "seed {seed}: {counts:?}");
     }
 }
 
+#[test]
+fn several_deadly_parts_in_requests_that_come_again_are_all_condemned() {
+    let common: BTreeSet<_> = ["first", "b0", "b1", "b2", "b3"].map(part).into();
+    for seed in 0..10 {
+        let counts = play(seed, 12, true, 4, 100);
+        let deadly: BTreeSet<_> = (0..12).map(deadly_part).collect();
+        let case = format!("seed {seed}: {counts:?}");
+        assert!(counts.condemned.is_superset(&deadly), "{case}");
+        // Nearly all requests break off, so a part that few of them have may be condemned, too.
+        assert!(counts.condemned.is_disjoint(&common), "{case}");
+    }
+}
+
 #[test]
 fn crashes_by_chance_condemn_nothing() {
     for seed in 0..20 {
-        let counts = play(seed, 1, u64::MAX, 12);
+        let counts = play(seed, 1, true, u64::MAX, 12);
         assert!(counts.crashes.len() > 100);
         assert_eq!(counts.condemned, BTreeSet::new(), "seed {seed}");
         assert_eq!(counts.refused, 0);
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -142,7 +142,7 @@
             request = self.request_id(),
             upstream = %upstream,
             parts = ?self.ask.shared_parts.iter().map(PartId::as_str).collect::<Vec<_>>(),
-            unknown = report.as_ref().map_or(0, |report| report.content.len()),
+            unknown = report.as_ref().map_or(0, |report| report.parts.len()),
         );
         let (Some(report), Some(socket)) = (report, self.state.socket()) else {
             return;
