Tell a deadly part from a bystander that was in the same crashes

Cause: its requests had waited on the engines of just the three crashes after which both were condemned, and content with the same crashes was condemned together. Change: a report tells whether the response had begun. Of content with the same crashes that is condemned which had begun most often; the crashes are then explained.

--- a/crates/catkinusher-core/src/poison/detector.rs
+++ b/crates/catkinusher-core/src/poison/detector.rs
@@ -58,13 +58,17 @@
     }
 
     /// The report for a request with this content that broke off unanswered, unless the request is
-    /// known to be sound; the content is that of [`Content::fingerprints`](super::Content::fingerprints).
+    /// known to be sound.
+    ///
+    /// The content is that of [`Content::fingerprints`](super::Content::fingerprints); `begun` tells
+    /// whether the upstream had begun to answer.
     #[must_use]
     pub fn report(
         &self,
         upstream: u32,
         request: u64,
         content: &[Fingerprint],
+        begun: bool,
         now: Time,
     ) -> Option<CrashReport> {
         let (whole, parts) = content.split_last()?;
@@ -83,6 +87,7 @@
             request,
             parts,
             whole: *whole,
+            begun,
         })
     }
 
--- a/crates/catkinusher-core/src/poison/suspects.rs
+++ b/crates/catkinusher-core/src/poison/suspects.rs
@@ -74,24 +74,34 @@
     pub parts: Vec<Fingerprint>,
     /// The request as a whole.
     pub whole: Fingerprint,
+    /// Whether the upstream had begun to answer it, as it has when the request makes it crash.
+    pub begun: bool,
 }
 
 /// The fields of a [`CrashReport`] in order.
-type ReportRow = (u32, u64, Vec<Fingerprint>, Fingerprint);
+type ReportRow = (u32, u64, Vec<Fingerprint>, Fingerprint, bool);
 
 impl From<CrashReport> for ReportRow {
     fn from(report: CrashReport) -> Self {
-        (report.upstream, report.request, report.parts, report.whole)
+        let CrashReport {
+            upstream,
+            request,
+            parts,
+            whole,
+            begun,
+        } = report;
+        (upstream, request, parts, whole, begun)
     }
 }
 
 impl From<ReportRow> for CrashReport {
-    fn from((upstream, request, parts, whole): ReportRow) -> Self {
+    fn from((upstream, request, parts, whole, begun): ReportRow) -> Self {
         Self {
             upstream,
             request,
             parts,
             whole,
+            begun,
         }
     }
 }
@@ -133,6 +143,8 @@
     last_at: Time,
     upstreams: BTreeMap<u32, Time>,
     requests: BTreeSet<u64>,
+    /// How many requests with it broke off that their upstream had begun to answer.
+    begun: u32,
     inquiries: u32,
     inquire_at: Time,
     /// The numbers of the first and the last inquiry about it.
@@ -231,6 +243,7 @@
             request,
             parts,
             whole,
+            begun,
         } = report;
         let parts = parts.iter().map(|part| (*part, false, whole.spread()));
         for (content, is_whole, request) in parts.chain([(*whole, true, *request)]) {
@@ -238,6 +251,7 @@
             suspect.is_whole = is_whole;
             let cause = self.explained.get(&crash);
             if !cause.is_some_and(|cause| cause.exonerates(suspect)) {
+                suspect.begun += u32::from(*begun);
                 suspect.on_crash(crash, *upstream, request, now);
             }
         }
@@ -311,7 +325,8 @@
         // In turn, as the crashes that the first explain may be all there is against the next.
         while let Some(first) = self.next_condemned(others, now) {
             let is_like = |suspect: &Suspect| {
-                suspect.crashes == first.crashes && suspect.is_whole == first.is_whole
+                suspect.crashes == first.crashes
+                    && (suspect.begun, suspect.is_whole) == (first.begun, first.is_whole)
             };
             let alike = self.entries.extract_if(.., |_, suspect| is_like(suspect));
             condemned.extend(alike.map(|(one, _)| (one, first.crashes.len() as u32)));
@@ -323,14 +338,15 @@
 
     /// The suspect with the most crashes, if enough nodes have replied and none has cleared it.
     ///
-    /// Others with the same crashes cannot be told from it, so they are condemned together.
+    /// Of those with the same crashes it is the one that was begun most often; others of which as
+    /// many were begun cannot be told from it, so they are condemned together.
     fn next_condemned(&self, others: usize, now: Time) -> Option<Suspect> {
         let quorum = (others as f64 * QUORUM).ceil() as usize;
         let suspect = self
             .entries
             .values()
             .filter(|suspect| suspect.is_suspected(&self.explained))
-            .max_by_key(|suspect| (suspect.crashes.len(), !suspect.is_whole))?;
+            .max_by_key(|suspect| (suspect.crashes.len(), !suspect.is_whole, suspect.begun))?;
         let is_asked = suspect.inquiries >= INQUIRIES && now >= suspect.inquire_at;
         (is_asked && suspect.repliers.len() >= quorum).then(|| suspect.clone())
     }
--- a/crates/catkinusher-core/tests/detector.rs
+++ b/crates/catkinusher-core/tests/detector.rs
@@ -42,6 +42,7 @@
         request,
         parts: parts.to_vec(),
         whole: part(&format!("request {request}")),
+        begun: true,
     }
 }
 
@@ -115,7 +116,7 @@
     before.on_answered(&content, ms(0));
     let unknown = report(1, 1, &[]);
     let broken = [content[0], part("request 1")];
-    assert_eq!(before.report(1, 1, &broken, ms(1)), Some(unknown));
+    assert_eq!(before.report(1, 1, &broken, true, ms(1)), Some(unknown));
     assert_eq!(judge(&mut before, &crashes, &content), 0);
     let mut during = Detector::new(Policy::default());
     for (upstream, (at, request)) in crashes.iter().enumerate() {
@@ -216,6 +217,25 @@
     assert_eq!(second, BTreeSet::from([dead]));
 }
 
+#[test]
+fn a_bystander_of_the_same_crashes_is_not_condemned() {
+    let mut detector = Detector::new(Policy::default());
+    let [dead, rare] = [part("dead"), part("rare")];
+    for (upstream, at) in [(1, 0), (2, 400), (3, 800)] {
+        detector.on_report(&report(upstream, upstream.into(), &[dead]), ms(at));
+        let waiting = CrashReport {
+            begun: false,
+            ..report(upstream, 100 + u64::from(upstream), &[rare])
+        };
+        detector.on_report(&waiting, ms(at + 1));
+    }
+    let condemned: Vec<_> = (900..2000)
+        .step_by(100)
+        .flat_map(|at| detector.poll(0, ms(at)).condemned)
+        .collect();
+    assert_eq!(condemned, [(dead, 3)]);
+}
+
 #[test]
 fn what_another_node_condemned_explains_crashes() {
     let mut detector = Detector::new(Policy::default());
@@ -251,7 +271,7 @@
     // The condemned part explains the crash.
     let broken = [content[0], part("c"), part("request 1")];
     let explained = report(1, 1, &content[..1]);
-    assert_eq!(detector.report(1, 1, &broken, ms(2)), Some(explained));
+    assert_eq!(detector.report(1, 1, &broken, true, ms(2)), Some(explained));
     assert!(detector.release(content[0]));
     assert_eq!(detector.refused_for(&content, ms(3)), None);
 }
@@ -371,9 +391,11 @@
             .map(|one| one.content.clone())
             .collect();
         for one in broken {
+            let begun = one.begins <= step;
             // The upstream has a new id after each crash.
             let upstream = engine + 100 * self.counts.crashes.len() as u32;
-            let report = self.nodes[one.node].report(upstream, one.request, &one.content, now);
+            let report =
+                self.nodes[one.node].report(upstream, one.request, &one.content, begun, now);
             let Some(report) = report else { continue };
             for collector in COLLECTORS {
                 if self.arrives() {
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -320,7 +320,7 @@
                     }
                     return Err(AttemptError::Unsent(detail));
                 }
-                self.on_broken_off(upstream);
+                self.on_broken_off(upstream, false);
                 return Err(AttemptError::Lost(Fault::Broken, detail));
             }
         };
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -348,7 +348,7 @@
             }
             Err(error) => {
                 if !error.is::<LengthLimitError>() {
-                    self.on_broken_off(&upstream);
+                    self.on_broken_off(&upstream, true);
                 }
                 let detail = error.to_string();
                 self.record_fault(&upstream, address, Fault::Broken, &detail);
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -128,19 +128,20 @@
     }
 
     /// Reports that the connection to an upstream broke before the request was answered on it,
-    /// as it does when the upstream crashes.
-    pub(super) fn on_broken_off(&self, upstream: &UpstreamId) {
+    /// as it does when the upstream crashes; `begun` tells whether the response had begun.
+    pub(super) fn on_broken_off(&self, upstream: &UpstreamId, begun: bool) {
         let now = self.state.now();
         let request = SALT.score("request", self.request_id());
         let short_id = Fleet::short_id(upstream);
         let report = self
             .state
             .detector()
-            .report(short_id, request, &self.content, now);
+            .report(short_id, request, &self.content, begun, now);
         info!(
             event = "broken-off",
             request = self.request_id(),
             upstream = %upstream,
+            begun,
             parts = ?self.ask.shared_parts.iter().map(PartId::as_str).collect::<Vec<_>>(),
             unknown = report.as_ref().map_or(0, |report| report.parts.len()),
         );
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -105,7 +105,7 @@
         )
         .await;
         if matches!(end, StreamEnd::BrokenOff(_)) && events.count() <= before + 1 {
-            job.on_broken_off(&upstream);
+            job.on_broken_off(&upstream, true);
         }
         match end {
             StreamEnd::Whole => {
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -1,4 +1,4 @@
-//! Watches of the store: configuration, upstreams and drained data centres.
+//! Watches of the store: configuration, upstreams, drained data centres, nodes and quarantined content.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::marker::PhantomData;
