Log what a peer knows that this node does not, and what lists hide

The logs could not tell the hypotheses apart: a reply that names a newer revision was not logged, nor that a reader has no changes for a peer that asks for them.

Adds the lines 'confirm behind' (once a revision, with the pause that is left) and 'feed listed', and counts queries that a reader cannot answer (result 'gap'). No logic changes.

--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -184,6 +184,18 @@
         self.freshness
     }
 
+    /// The newest revision that a peer has reported and this node has not fetched yet.
+    #[must_use]
+    pub const fn newest_known(&self) -> Option<u64> {
+        self.behind
+    }
+
+    /// How long this node still waits before it may read the store.
+    #[must_use]
+    pub fn read_pause(&self, now: Time) -> Duration {
+        self.read_at.since(now)
+    }
+
     /// Returns the actions that are due now; to be called again after [`Self::poll_interval`].
     ///
     /// A reader that does not answer a query in time counts as silent.
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -150,16 +150,22 @@
 /// Handles a peer's reply to a confirmation query.
 pub(super) fn on_peer_reply<D>(state: &State<D>, reply: &ConfirmReply) {
     let revision = state.view().position().revision;
-    let outcome = on_confirmed(state, |confirmer| {
-        confirmer.on_reply(reply, revision, clock::boot_time())
-    });
+    let now = clock::boot_time();
+    let known = state.confirmer().newest_known();
+    let outcome = on_confirmed(state, |confirmer| confirmer.on_reply(reply, revision, now));
     match outcome {
         ReplyOutcome::Confirmed => {}
         ReplyOutcome::Behind => {
-            debug!(
-                "confirm: a peer has the newer revision {}",
-                reply.known.revision
-            );
+            // Each revision is logged once.
+            if known < Some(reply.known.revision) {
+                info!(
+                    event = "confirm",
+                    outcome = "behind",
+                    revision,
+                    newer = reply.known.revision,
+                    pause_ms = state.confirmer().read_pause(now).as_millis() as u64,
+                );
+            }
             state.notifiers.confirm.notify_one();
         }
         ReplyOutcome::Ignored => return,
--- a/crates/catkinusherd/src/gateway/feeds.rs
+++ b/crates/catkinusherd/src/gateway/feeds.rs
@@ -6,6 +6,7 @@
 use catkinusher_core::object::Version;
 use serde_json::Value;
 use tokio::sync::Notify;
+use tracing::info;
 
 use super::peers::Feed;
 
@@ -55,18 +56,18 @@
         self.kind(feed).lock().log.upto()
     }
 
-    /// The changes for a peer that has seen all up to `version`; none if they are not complete here.
-    pub(super) fn since(&self, feed: Feed, version: Version) -> Vec<Batch<Value>> {
-        self.kind(feed)
-            .lock()
-            .log
-            .since(version)
-            .unwrap_or_default()
+    /// The changes for a peer that has seen all up to `version`, or `None` if they are not complete here.
+    pub(super) fn since(&self, feed: Feed, version: Version) -> Option<Vec<Batch<Value>>> {
+        self.kind(feed).lock().log.since(version)
     }
 
     /// Records a list of all objects.
     pub(super) fn on_list(&self, feed: Feed, version: Version) {
-        self.kind(feed).lock().log.on_list(version);
+        let mut state = self.kind(feed).lock();
+        let before = state.log.upto();
+        state.log.on_list(version);
+        drop(state);
+        info!(event = "feed", kind = feed.name(), outcome = "listed", %before, %version);
     }
 
     /// Records changes that this node has applied.
--- a/crates/catkinusherd/src/gateway/peers/message.rs
+++ b/crates/catkinusherd/src/gateway/peers/message.rs
@@ -111,6 +111,16 @@
         Self::Nodes,
         Self::Quarantine,
     ];
+
+    /// The name of the kind in logs and metrics.
+    pub(in crate::gateway) const fn name(self) -> &'static str {
+        match self {
+            Self::Upstreams => "feed-upstreams",
+            Self::Drained => "feed-drained",
+            Self::Nodes => "feed-nodes",
+            Self::Quarantine => "feed-quarantine",
+        }
+    }
 }
 
 /// A message between nodes.
--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -156,7 +156,11 @@
                     send(&socket, &Message::ConfirmReply(reply), from);
                 }
                 for (feed, seen) in Feed::ALL.into_iter().zip(seen) {
-                    for batch in state.feeds.since(feed, seen) {
+                    let Some(batches) = state.feeds.since(feed, seen) else {
+                        state.metrics.on_call(feed.name(), "gap");
+                        continue;
+                    };
+                    for batch in batches {
                         send(&socket, &Message::Changes(feed, batch), from);
                     }
                 }
