--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -43,18 +43,22 @@
     loss: f64,
     delay_probability: f64,
     max_read_ms: u64,
+    /// How long a read of a silent store takes to fail, or `None` if it fails like any other.
+    timeout_ms: Option<u64>,
 }
 
 const RELIABLE: Network = Network {
     loss: 0.01,
     delay_probability: 0.0,
     max_read_ms: 20,
+    timeout_ms: None,
 };
 
 const UNRELIABLE: Network = Network {
     loss: 0.1,
     delay_probability: 0.05,
     max_read_ms: 400,
+    timeout_ms: None,
 };
 
 fn address(node: usize) -> SocketAddr {
@@ -150,7 +154,7 @@
                         self.reads += 1;
                         // The response reflects the store at some time during the read, in the worst case at its start.
                         let revision = store(node).then_some(self.written.len() as u64 - 1);
-                        let took = self.rng.random_range(5..self.network.max_read_ms);
+                        let took = self.read_time(revision.is_some());
                         let read = Message::Read(node, at, revision);
                         self.in_transit.push((now + took, read));
                     }
@@ -159,7 +163,7 @@
                         let newest = self.written.len() as u64 - 1;
                         let revision =
                             store(node).then(|| newest - self.rng.random_range(0..=newest.min(2)));
-                        let took = self.rng.random_range(5..self.network.max_read_ms);
+                        let took = self.read_time(revision.is_some());
                         self.in_transit
                             .push((now + took, Message::Fetched(node, revision)));
                     }
@@ -175,6 +179,14 @@
         self.check(now);
     }
 
+    fn read_time(&mut self, answered: bool) -> u64 {
+        let took = self.rng.random_range(5..self.network.max_read_ms);
+        self.network
+            .timeout_ms
+            .filter(|_| !answered)
+            .unwrap_or(took)
+    }
+
     /// Sends a datagram, which may be delayed or lost.
     fn send(&mut self, now: u64, message: Message) {
         if !self.rng.random_bool(self.network.loss) {
@@ -408,3 +420,36 @@
         assert!(reads_per_s < 10.0, "{reads_per_s} reads per second");
     }
 }
+
+#[test]
+fn a_node_reads_at_once_after_an_outage_instead_of_ending_its_pause() {
+    const RETURNS: u64 = 8000;
+    const CONFIG_BOUND: u64 = 2000;
+    let silent = Network {
+        timeout_ms: Some(900),
+        ..RELIABLE
+    };
+    let mut late = Vec::new();
+    for seed in 0..40 {
+        let mut simulation = Simulation::new(18, seed, silent);
+        simulation.rosters = (0..18)
+            .map(|node| Roster::new(member(node), Time::ZERO))
+            .collect();
+        // All nodes have just started and do not know each other until the store returns.
+        let starts = RETURNS - 4000 - seed * 40;
+        for now in (starts..RETURNS + 460 + CONFIG_BOUND).step_by(STEP as usize) {
+            if now == RETURNS {
+                simulation.rosters = (0..18).map(|node| roster(node, 18)).collect();
+            }
+            if now > RETURNS + 300 && now <= RETURNS + 460 {
+                simulation.written.push(now);
+            }
+            simulation.step(now, now >= RETURNS, |_| true);
+        }
+        let newest = simulation.written.len() as u64 - 1;
+        let behind = simulation.known.iter().filter(|known| **known < newest);
+        late.push((seed, behind.count()));
+    }
+    late.retain(|(_, behind)| *behind > 0);
+    assert_eq!(late, [], "seeds and nodes that lack the newest revision");
+}
