End a pause between reads with the outage of the store that it comes from

Cause: each failed read doubles the pause before the next one, up to 2.4 s. A read that began in the outage fails after it, and sets such a pause. A reply of a peer that names a newer revision ended the pause only at a node without failures, so that a store that turns one node away is not called more often; after an outage every node has failures.

A second part of it: a node that had no confirmation did not reply at all, so that peers took it for dead and asked others. After a common restart all nodes did so, and then asked each other late.

Change: what tells the two apart is whether peers were served when the failed read began. If not, it failed in an outage; once a peer has been answered since, the pause ends. If they were, the store turns away this node only, and the pause stays. Nodes without a confirmation reply and say so.

That readers who are turned away cost few calls is checked as before (a_store_that_turns_the_readers_away_is_read_by_others).

--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -69,8 +69,8 @@
 pub struct ConfirmReply {
     /// The number of the query that it answers.
     pub number: u64,
-    /// How long ago the configuration was confirmed, in milliseconds, rounded up.
-    pub age: u64,
+    /// How long ago the configuration was confirmed, in milliseconds, rounded up, or `None` if never.
+    pub age: Option<u64>,
     /// Whether the replying node cannot read the store at present.
     pub failing: bool,
     /// What the replying node has seen of the store.
@@ -111,7 +111,7 @@
     Confirmed,
     /// This node has an older configuration and should read the store.
     Behind,
-    /// It does not match the open query.
+    /// It matches no open query, or comes from a node that has no confirmation.
     Ignored,
 }
 
@@ -145,6 +145,12 @@
     /// What was fetched did not suffice.
     must_read: bool,
     started_at: Option<Time>,
+    /// When the last call of the store began.
+    called_at: Time,
+    /// Whether the store answered peers when that call began, so that its failure concerns this node alone.
+    peers_served: bool,
+    /// The latest time at which the store is known to have answered a peer.
+    peer_read_at: Option<Time>,
     read_at: Time,
     query_at: Time,
     /// Consecutive failed reads.
@@ -168,6 +174,9 @@
             behind: None,
             must_read: false,
             started_at: None,
+            called_at: Time::ZERO,
+            peers_served: false,
+            peer_read_at: None,
             read_at: Time::ZERO,
             query_at: Time::ZERO,
             failures: 0,
@@ -231,13 +240,18 @@
             return actions;
         }
         if let Some(revision) = self.behind.take() {
-            self.reading = true;
             actions.push(Action::Fetch(revision));
         } else if self.must_read || self.is_read_due(roster, started_at, now) {
-            self.reading = true;
             self.must_read = false;
             actions.push(Action::Read);
+        } else {
+            return actions;
         }
+        self.reading = true;
+        self.called_at = now;
+        self.peers_served = self
+            .peer_read_at
+            .is_some_and(|read_at| now.since(read_at) < self.interval);
         actions
     }
 
@@ -359,6 +373,10 @@
     /// Records a failed read.
     pub fn on_failure(&mut self, roster: &Roster, now: Time) {
         self.reading = false;
+        if self.is_outage_over() {
+            self.end_pause();
+            return;
+        }
         let delay = self.interval.mul_f64(RETRY_FRACTION);
         // Readers do not back off, as all other nodes depend on them.
         let is_reader = self.is_reader(roster, now);
@@ -371,16 +389,32 @@
         self.read_at = now + delay * (1 << doublings);
     }
 
-    /// Builds the reply to a query, unless this node has no confirmation.
+    /// Whether the last call failed in an outage of the store that has ended since.
+    ///
+    /// A store that answered peers when the call began, and not this node, may
+    /// turn only this node away; what it answers peers later proves nothing then.
+    fn is_outage_over(&self) -> bool {
+        !self.peers_served && self.peer_read_at > Some(self.called_at)
+    }
+
+    /// Allows the next read at once, as if the store had never failed.
+    const fn end_pause(&mut self) {
+        self.failures = 0;
+        self.read_at = Time::ZERO;
+    }
+
+    /// Builds the reply to a query.
+    ///
+    /// A node without a confirmation replies, too, so that it does not count as silent.
     #[must_use]
-    pub fn reply(&self, number: u64, known: StorePosition, now: Time) -> Option<ConfirmReply> {
-        let age = self.freshness.age(now)?.as_millis() as u64 + 1;
-        Some(ConfirmReply {
+    pub fn reply(&self, number: u64, known: StorePosition, now: Time) -> ConfirmReply {
+        let age = self.freshness.age(now);
+        ConfirmReply {
             number,
-            age,
-            failing: self.failures > 0,
+            age: age.map(|age| age.as_millis() as u64 + 1),
+            failing: self.failures > 0 || age.is_none(),
             known,
-        })
+        }
     }
 
     /// Whether the last confirmation is so old that this node reads the store itself.
@@ -408,6 +442,14 @@
         } else {
             self.unfit.remove(&peer);
         }
+        let confirmed_at = reply.age.map(|age| {
+            let age = age.saturating_mul(1000);
+            Time::from_micros(sent_at.as_micros().saturating_sub(age))
+        });
+        self.peer_read_at = self.peer_read_at.max(confirmed_at);
+        if self.failures > 0 && !self.reading && self.is_outage_over() {
+            self.end_pause();
+        }
         if reply.known.revision > revision {
             self.behind = Some(reply.known.revision);
             // A store that turns this node away is not called more often for it.
@@ -416,11 +458,9 @@
             }
             return ReplyOutcome::Behind;
         }
-        let confirmed_at = Time::from_micros(
-            sent_at
-                .as_micros()
-                .saturating_sub(reply.age.saturating_mul(1000)),
-        );
+        let Some(confirmed_at) = confirmed_at else {
+            return ReplyOutcome::Ignored;
+        };
         self.freshness.on_confirmed(confirmed_at);
         ReplyOutcome::Confirmed
     }
--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -121,9 +121,8 @@
                         revision: self.known[to],
                         ..StorePosition::default()
                     };
-                    if let Some(reply) = self.nodes[to].reply(number, known, at) {
-                        self.send(now, Message::Reply(to, from, reply));
-                    }
+                    let reply = self.nodes[to].reply(number, known, at);
+                    self.send(now, Message::Reply(to, from, reply));
                 }
                 Message::Reply(from, to, reply) if alive(to) => {
                     self.rosters[to].on_heard(address(from), at);
@@ -334,7 +333,7 @@
     node.on_read(ms(1000));
     let reply = |number, revision| ConfirmReply {
         number,
-        age: 100,
+        age: Some(100),
         failing: false,
         known: StorePosition {
             revision,
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -141,8 +141,8 @@
     state.notifiers.confirm.notify_one();
 }
 
-/// Replies to a peer's confirmation query; `None` if this node has no confirmation.
-pub(super) fn reply_to_peer<D>(state: &State<D>, number: u64) -> Option<ConfirmReply> {
+/// Replies to a peer's confirmation query.
+pub(super) fn reply_to_peer<D>(state: &State<D>, number: u64) -> ConfirmReply {
     let known = state.view().position();
     state.confirmer().reply(number, known, clock::boot_time())
 }
--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -152,9 +152,8 @@
         match ciborium::from_reader(&bytes[..length]) {
             Ok(Message::Report(report)) => on_report(&state, report, &mut latest),
             Ok(Message::ConfirmQuery(number, seen)) => {
-                if let Some(reply) = confirm::reply_to_peer(&state, number) {
-                    send(&socket, &Message::ConfirmReply(reply), from);
-                }
+                let reply = confirm::reply_to_peer(&state, number);
+                send(&socket, &Message::ConfirmReply(reply), from);
                 for (feed, seen) in Feed::ALL.into_iter().zip(seen) {
                     let Some(batches) = state.feeds.since(feed, seen) else {
                         state.metrics.on_call(feed.name(), "gap");
