Pass on removals that only a list of the store shows

Cause: a reader whose position is older than the store's history gets 410 and lists. The list replaced its log of changes, so that it had nothing to send to nodes that stood before the list. These were to notice by the newest version that the reader names, but that was the newest version of an object that is there, and a removal leaves none. So they neither got the removal nor called the store.

Ruled out: lost datagrams (the test has none to lose), an outage (the lists said there was none).

Change: the log knows which objects there are, and takes the difference to a later list as changes, with the removals at the list's version. A first list may hide any change, so its own version counts as the newest. A node that is told of a change by one reader no longer forgets it when another reader, which does not know it, replies in between. If an answer that may be old does not have the change, the next call asks for a current one at once.

The same held for drained data centres, registered nodes and quarantined content, which use the same log; readers did not release quarantined content either whose removal only a list showed.

One assertion said that a list hides the changes before it. That was the fault; what a list after a reset of the store hides is asserted instead.

--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -472,8 +472,10 @@
     /// All changes up to this version have been received.
     seen: Version,
     newest: Version,
-    /// Whether the last reply of a peer reported a later change.
-    behind: bool,
+    /// The latest change that a peer has reported.
+    reported: Version,
+    /// Whether the last report has restarted the watch.
+    restarted: bool,
 }
 
 impl WatchProgress {
@@ -483,19 +485,29 @@
         self.newest = self.newest.max(newest.unwrap_or_default());
     }
 
-    /// The version of the newest change.
+    /// The version of the newest change, removals included.
     #[must_use]
     pub const fn newest(&self) -> Version {
         self.newest
     }
 
+    /// Whether a peer has reported a change that has not been received.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.reported > self.seen
+    }
+
     /// Records the newest change known to a peer, and tells whether the watch should be restarted.
     ///
     /// A change may reach the peer slightly earlier, so the watch counts as
-    /// stalled only when two replies in a row report a later change.
+    /// stalled only at the second reply that reports a later change, and again at
+    /// every other one. Replies of peers that do not know of it make no difference.
     pub fn on_peer_version(&mut self, newest: Version) -> bool {
-        let was_behind = self.behind;
-        self.behind = newest > self.seen && !was_behind;
-        was_behind && newest > self.seen
+        if newest <= self.seen {
+            return false;
+        }
+        self.restarted = self.is_behind() && !self.restarted;
+        self.reported = self.reported.max(newest);
+        self.restarted
     }
 }
--- a/crates/catkinusher-core/src/feed/mod.rs
+++ b/crates/catkinusher-core/src/feed/mod.rs
@@ -6,7 +6,7 @@
 //! watching node, reads the store itself, so lost messages cost calls and never
 //! leave a gap (see [docs/design/large.md](../../../../docs/design/large.md)).
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -81,6 +81,17 @@
     after: Version,
     upto: Version,
     changes: VecDeque<Change<T>>,
+    /// The versions of the objects that there are.
+    objects: BTreeMap<String, Version>,
+}
+
+/// What a list shows that was not known before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListDifference {
+    /// The version of the latest change that the list may contain.
+    pub newest: Version,
+    /// The objects that were known and are no longer there.
+    pub removed: Vec<String>,
 }
 
 impl<T> Default for ChangeLog<T> {
@@ -89,6 +100,7 @@
             after: Version::NONE,
             upto: Version::NONE,
             changes: VecDeque::new(),
+            objects: BTreeMap::new(),
         }
     }
 }
@@ -103,11 +115,55 @@
         self.upto
     }
 
-    /// Records a complete list of the objects, which hides the changes before it.
-    pub fn on_list(&mut self, version: Version) {
-        self.after = version;
-        self.upto = version;
-        self.changes.clear();
+    /// Records a complete list of the objects, as (name, version, value).
+    ///
+    /// What differs from what was known before are the changes since, so that
+    /// they can be passed on even if the store's history does not hold them any
+    /// more. A first list hides all changes before it, of which any may be recent.
+    pub fn on_list<'a, I>(&mut self, version: Version, listed: I, outage: bool) -> ListDifference
+    where
+        I: IntoIterator<Item = (&'a str, Version, &'a T)>,
+        T: 'a,
+    {
+        let known = std::mem::take(&mut self.objects);
+        let is_first = self.upto == Version::NONE || version < self.upto;
+        let mut changes = Vec::new();
+        for (name, version, value) in listed {
+            self.objects.insert(name.to_owned(), version);
+            if known.get(name) != Some(&version) {
+                changes.push(Change {
+                    version,
+                    name: name.to_owned(),
+                    value: Some(value.clone()),
+                    outage,
+                });
+            }
+        }
+        let mut removed: Vec<String> = known.into_keys().collect();
+        removed.retain(|name| !self.objects.contains_key(name));
+        if is_first {
+            self.after = version;
+            self.upto = version;
+            self.changes.clear();
+            return ListDifference {
+                newest: version,
+                removed,
+            };
+        }
+        changes.sort_by_key(|change| change.version);
+        // The removals may be later than all other changes.
+        changes.extend(removed.iter().map(|name| Change {
+            version,
+            name: name.clone(),
+            value: None,
+            outage,
+        }));
+        let newest = changes.last().map(|change| change.version);
+        self.append(version, changes);
+        ListDifference {
+            newest: newest.unwrap_or_default(),
+            removed,
+        }
     }
 
     /// Records all changes since the last ones, up to the version `upto`.
@@ -115,6 +171,17 @@
     where
         I: IntoIterator<Item = Change<T>>,
     {
+        let changes: Vec<_> = changes.into_iter().collect();
+        for change in &changes {
+            match change.value {
+                Some(_) => self.objects.insert(change.name.clone(), change.version),
+                None => self.objects.remove(&change.name),
+            };
+        }
+        self.append(upto, changes);
+    }
+
+    fn append(&mut self, upto: Version, changes: Vec<Change<T>>) {
         self.upto = self.upto.max(upto);
         self.changes.extend(changes);
         while self.changes.len() > MAX_CHANGES {
--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -392,6 +392,20 @@
     assert_eq!(progress.newest(), version(7), "only changes count");
 }
 
+#[test]
+fn a_change_that_only_one_of_the_readers_knows_is_not_missed() {
+    let version = Version::new;
+    let mut progress = WatchProgress::default();
+    progress.on_answer(version(10), Some(version(7)));
+    assert!(!progress.on_peer_version(version(12)));
+    assert!(!progress.on_peer_version(version(7)), "another reader");
+    assert!(progress.on_peer_version(version(12)));
+    progress.on_answer(version(11), None);
+    assert!(progress.is_behind(), "the answer was old");
+    progress.on_answer(version(12), Some(version(12)));
+    assert!(!progress.is_behind());
+}
+
 #[test]
 fn a_store_that_turns_the_readers_away_is_read_by_others() {
     for seed in 0..10 {
--- a/crates/catkinusher-core/tests/feed.rs
+++ b/crates/catkinusher-core/tests/feed.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use catkinusher_core::feed::{Batch, Change, ChangeLog};
+use catkinusher_core::feed::{Batch, Change, ChangeLog, ListDifference};
 use catkinusher_core::object::Version;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -20,7 +20,7 @@
 fn a_log_has_the_changes_since_its_list_only() {
     let mut log = ChangeLog::default();
     assert_eq!(log.since(Version::NONE), None);
-    log.on_list(Version::new(10));
+    log.on_list(Version::new(10), [], false);
     log.on_changes(
         Version::new(14),
         [change(12, "a", Some(1)), change(14, "b", None)],
@@ -30,8 +30,40 @@
     let batches = log.since(Version::new(12)).unwrap();
     assert_eq!(batches.len(), 1);
     assert_eq!(batches[0].changes, [change(14, "b", None)]);
-    log.on_list(Version::new(20));
-    assert_eq!(log.since(Version::new(14)), None, "the list hides them");
+    log.on_list(Version::new(5), [], false);
+    assert_eq!(log.upto(), Version::new(5), "an older store");
+    assert_eq!(log.since(Version::new(4)), None);
+}
+
+#[test]
+fn a_later_list_shows_the_changes_and_removals_since() {
+    let mut log = ChangeLog::default();
+    let version = Version::new;
+    let first = log.on_list(
+        version(10),
+        [("a", version(3), &1), ("b", version(4), &1)],
+        false,
+    );
+    assert_eq!(first.newest, version(10), "any change may be recent");
+    log.on_changes(version(14), [change(12, "c", Some(1))]);
+    let later = [("b", version(4), &1), ("c", version(17), &2)];
+    let difference = log.on_list(version(20), later, false);
+    let removed = vec!["a".to_owned()];
+    assert_eq!(
+        difference,
+        ListDifference {
+            newest: version(20),
+            removed
+        }
+    );
+    let batches = log.since(version(15)).unwrap();
+    assert_eq!(
+        batches[0].changes,
+        [change(17, "c", Some(2)), change(20, "a", None)]
+    );
+    let same = log.on_list(version(30), later, false);
+    assert_eq!(same.newest, Version::NONE, "nothing has changed");
+    assert_eq!(log.upto(), version(30));
 }
 
 #[test]
@@ -39,8 +71,8 @@
     for seed in 0..20 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let (mut reader, mut follower) = (ChangeLog::default(), ChangeLog::default());
-        reader.on_list(Version::new(1));
-        follower.on_list(Version::new(1));
+        reader.on_list(Version::new(1), [], false);
+        follower.on_list(Version::new(1), [], false);
         let (mut truth, mut copy) = (BTreeMap::new(), BTreeMap::new());
         let mut version = 1;
         for round in 0..200 {
@@ -55,7 +87,15 @@
                 };
                 changes.push(change(version, &name, value));
             }
-            reader.on_changes(Version::new(version), changes);
+            if rng.random_bool(0.2) {
+                // The history was dropped, so the reader has only a list.
+                let listed = truth
+                    .iter()
+                    .map(|(name, value)| (name.as_str(), Version::new(*value), value));
+                reader.on_list(Version::new(version), listed, false);
+            } else {
+                reader.on_changes(Version::new(version), changes);
+            }
             let loss = if round == 199 { 0.0 } else { 0.4 };
             for batch in reader.since(follower.upto()).unwrap() {
                 if !rng.random_bool(loss) && follower.continues(&batch) {
--- a/crates/catkinusherd/src/gateway/feeds.rs
+++ b/crates/catkinusherd/src/gateway/feeds.rs
@@ -2,8 +2,9 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use catkinusher_core::feed::{Batch, Change, ChangeLog};
+use catkinusher_core::feed::{Batch, Change, ChangeLog, ListDifference};
 use catkinusher_core::object::Version;
+use catkinusher_platform::Listing;
 use serde_json::Value;
 use tokio::sync::Notify;
 use tracing::info;
@@ -61,13 +62,30 @@
         self.kind(feed).lock().log.since(version)
     }
 
-    /// Records a list of all objects.
-    pub(super) fn on_list(&self, feed: Feed, version: Version) {
+    /// Records a list of all objects, and returns what it shows that this node did not know.
+    pub(super) fn on_list(
+        &self,
+        feed: Feed,
+        listing: &Listing<Value>,
+        outage: bool,
+    ) -> ListDifference {
+        let objects = listing
+            .objects
+            .iter()
+            .map(|object| (object.name.as_str(), object.version, &object.value));
         let mut state = self.kind(feed).lock();
         let before = state.log.upto();
-        state.log.on_list(version);
+        let difference = state.log.on_list(listing.version, objects, outage);
         drop(state);
-        info!(event = "feed", kind = feed.name(), outcome = "listed", %before, %version);
+        info!(
+            event = "feed",
+            kind = feed.name(),
+            outcome = "listed",
+            %before,
+            version = %listing.version,
+            removed = difference.removed.len(),
+        );
+        difference
     }
 
     /// Records changes that this node has applied.
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use catkinusher_core::confirm::WatchProgress;
 use catkinusher_core::feed::Change;
 use catkinusher_core::fingerprint::Fingerprint;
 use catkinusher_core::freshness::StoreOutage;
@@ -56,14 +57,23 @@
     fn notifier(&self) -> &Notify;
 
     /// Handles a list of all objects; `outage` is set if the store was unavailable until just now.
-    fn on_list(&mut self, objects: Vec<Object<Value>>, outage: bool);
+    ///
+    /// `removed` are those that were known and are no longer there.
+    fn on_list(&mut self, objects: Vec<Object<Value>>, removed: Vec<String>, outage: bool);
 
     /// Handles a change.
     fn on_event(&mut self, event: Event<Value>, outage: bool);
 
+    /// Calls `act` with the progress of the watch, if peers are compared with it.
+    fn with_progress<T, F>(&self, act: F) -> Option<T>
+    where
+        F: FnOnce(&mut WatchProgress) -> T;
+
     /// Handles an answer that covers all changes up to `seen`; `newest` is the
     /// version of the latest change in it, if any.
-    fn on_answer(&mut self, seen: Version, newest: Option<Version>);
+    fn on_answer(&self, seen: Version, newest: Option<Version>) {
+        self.with_progress(|progress| progress.on_answer(seen, newest));
+    }
 }
 
 /// Starts the watches.
@@ -130,6 +140,8 @@
     let mut version = None;
     let mut store_outage = StoreOutage::default();
     let mut compacted = false;
+    // An answer that may be old did not have the changes that a peer knows.
+    let mut must_be_current = false;
     // The end of an outage after which the store has answered already.
     let mut seen_outage = Time::ZERO;
     loop {
@@ -138,8 +150,8 @@
             state.timers.after(ROLE_PERIOD).await;
             continue;
         }
-        let mut catch_up = false;
-        if version.is_some() && !store_outage.is_ongoing() && !state.is_reader() {
+        let mut catch_up = must_be_current;
+        if !catch_up && version.is_some() && !store_outage.is_ongoing() && !state.is_reader() {
             match follow(&state, &mut handler, &mut version).await {
                 Followed::Changes => continue,
                 Followed::Behind => catch_up = true,
@@ -154,7 +166,7 @@
         };
         // A list begins a watch, and a catch-up is repeated until readers know no more,
         // so both may be old, unless the changes since an old list may be gone.
-        let may_be_old = (version.is_none() && !compacted) || catch_up;
+        let may_be_old = (version.is_none() && !compacted) || (catch_up && !must_be_current);
         let store = if may_be_old && !outage {
             store.stale()
         } else {
@@ -176,6 +188,11 @@
                 seen_outage = just_regained.unwrap_or(seen_outage);
                 let first = version.replace(next).is_none();
                 handler.on_answer(next, newest);
+                let is_behind = handler.with_progress(|progress| progress.is_behind());
+                must_be_current = may_be_old && is_behind == Some(true);
+                if must_be_current {
+                    continue;
+                }
                 if newest.is_some() && !first {
                     state.timers.after(COALESCE_DELAY).await;
                 }
@@ -282,14 +299,17 @@
     match version {
         None => {
             let listing = store.list(handler.kind(), "").await?;
-            let newest = listing.objects.iter().map(|object| object.version).max();
-            handler.on_list(listing.objects, outage);
-            if let Some(feed) = H::FEED {
-                feeds.on_list(feed, listing.version);
-            }
+            let (newest, removed) = match H::FEED {
+                Some(feed) => {
+                    let difference = feeds.on_list(feed, &listing, outage);
+                    (difference.newest, difference.removed)
+                }
+                None => (listing.version, Vec::new()),
+            };
+            handler.on_list(listing.objects, removed, outage);
             Ok(PollResult {
                 next: listing.version,
-                newest,
+                newest: (newest > Version::NONE).then_some(newest),
             })
         }
         Some(after) => {
@@ -396,7 +416,7 @@
         &self.state.notifiers.configuration
     }
 
-    fn on_list(&mut self, objects: Vec<Object<Value>>, _outage: bool) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, _outage: bool) {
         for object in objects {
             // Only the reads of the confirmer decide whether an invalid object ends the trust in the configuration.
             let _is_current =
@@ -410,7 +430,12 @@
         }
     }
 
-    fn on_answer(&mut self, _seen: Version, _newest: Option<Version>) {}
+    fn with_progress<T, F>(&self, _act: F) -> Option<T>
+    where
+        F: FnOnce(&mut WatchProgress) -> T,
+    {
+        None
+    }
 }
 
 struct UpstreamHandler<D, S> {
@@ -467,7 +492,7 @@
         &self.state.notifiers.upstreams
     }
 
-    fn on_list(&mut self, objects: Vec<Object<Value>>, outage: bool) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, outage: bool) {
         let listed: Vec<_> = objects
             .into_iter()
             .filter_map(|object| self.parse(&object.name, object.value))
@@ -496,8 +521,11 @@
         }
     }
 
-    fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
-        self.state.view().upstreams.on_answer(seen, newest);
+    fn with_progress<T, F>(&self, act: F) -> Option<T>
+    where
+        F: FnOnce(&mut WatchProgress) -> T,
+    {
+        Some(act(&mut self.state.view().upstreams))
     }
 }
 
@@ -533,7 +561,7 @@
         &self.state.notifiers.drained
     }
 
-    fn on_list(&mut self, objects: Vec<Object<Value>>, _outage: bool) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, _outage: bool) {
         self.data_centres = objects
             .iter()
             .filter_map(|object| object.name.parse().ok())
@@ -553,8 +581,11 @@
         self.apply();
     }
 
-    fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
-        self.state.view().drained.on_answer(seen, newest);
+    fn with_progress<T, F>(&self, act: F) -> Option<T>
+    where
+        F: FnOnce(&mut WatchProgress) -> T,
+    {
+        Some(act(&mut self.state.view().drained))
     }
 }
 
@@ -595,7 +626,7 @@
         &self.state.notifiers.nodes
     }
 
-    fn on_list(&mut self, objects: Vec<Object<Value>>, _outage: bool) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, _outage: bool) {
         let members: BTreeMap<String, Member> = objects
             .into_iter()
             .filter_map(|object| {
@@ -644,8 +675,11 @@
         self.state.fleet().on_node_count(count);
     }
 
-    fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
-        self.state.view().nodes.on_answer(seen, newest);
+    fn with_progress<T, F>(&self, act: F) -> Option<T>
+    where
+        F: FnOnce(&mut WatchProgress) -> T,
+    {
+        Some(act(&mut self.state.view().nodes))
     }
 }
 
@@ -669,6 +703,12 @@
             }
         }
     }
+
+    fn remove(&self, name: &str) {
+        if let Ok(content) = name.parse() {
+            quarantine::on_removed(&self.state, content);
+        }
+    }
 }
 
 impl<D, S> WatchHandler for QuarantineHandler<D, S>
@@ -686,26 +726,28 @@
         &self.state.notifiers.quarantine
     }
 
-    // Entries that the list lacks stay, as they may not be in the store yet.
-    fn on_list(&mut self, objects: Vec<Object<Value>>, _outage: bool) {
+    // Other entries that the list lacks stay, as they may not be in the store yet.
+    fn on_list(&mut self, objects: Vec<Object<Value>>, removed: Vec<String>, _outage: bool) {
         for object in objects {
             self.apply(&object.name, object.value);
         }
+        for name in removed {
+            self.remove(&name);
+        }
         self.state.view().quarantine_listed = true;
     }
 
     fn on_event(&mut self, event: Event<Value>, _outage: bool) {
         match event.value {
             Some(value) => self.apply(&event.name, value),
-            None => {
-                if let Ok(content) = event.name.parse() {
-                    quarantine::on_removed(&self.state, content);
-                }
-            }
+            None => self.remove(&event.name),
         }
     }
 
-    fn on_answer(&mut self, seen: Version, newest: Option<Version>) {
-        self.state.view().quarantine.on_answer(seen, newest);
+    fn with_progress<T, F>(&self, act: F) -> Option<T>
+    where
+        F: FnOnce(&mut WatchProgress) -> T,
+    {
+        Some(act(&mut self.state.view().quarantine))
     }
 }
