Number removals so that nodes ahead of the reader get them

Cause: the event of a removal may name the version of the object's last change, so the reader numbered it as the first version after its own position. A node that stood between the two positions asked for changes after its own and did not get the removal, but was told that it now had all changes up to the end of the answer.

Change: a removal gets the latest version at which it may have happened, before the next change in the same answer, else that of the whole answer.

--- a/crates/catkinusher-core/src/feed/mod.rs
+++ b/crates/catkinusher-core/src/feed/mod.rs
@@ -56,6 +56,41 @@
     }
 }
 
+/// Numbers the changes that a watch reported in order, up to the version `upto`.
+///
+/// A removal has no version of its own, as its event may name that of the
+/// object's last change. It gets the latest at which it may have happened, so
+/// that it follows whatever a node has seen that does not know of it.
+#[must_use]
+pub fn numbered<T>(
+    events: Vec<(String, Option<(Version, T)>)>,
+    upto: Version,
+    outage: bool,
+) -> Vec<Change<T>> {
+    let mut latest = upto;
+    let mut changes: Vec<_> = events
+        .into_iter()
+        .rev()
+        .map(|(name, object)| {
+            let (version, value) = match object {
+                Some((version, value)) => {
+                    latest = Version::new(version.get().saturating_sub(1));
+                    (version, Some(value))
+                }
+                None => (latest, None),
+            };
+            Change {
+                version,
+                name,
+                value,
+                outage,
+            }
+        })
+        .collect();
+    changes.reverse();
+    changes
+}
+
 /// All changes between two versions of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(bound(
--- a/crates/catkinusher-core/tests/feed.rs
+++ b/crates/catkinusher-core/tests/feed.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use catkinusher_core::feed::{Batch, Change, ChangeLog, ListDifference};
+use catkinusher_core::feed::{Batch, Change, ChangeLog, ListDifference, numbered};
 use catkinusher_core::object::Version;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -117,3 +117,37 @@
     }
     log.on_changes(batch.upto, batch.changes);
 }
+
+#[test]
+fn a_removal_reaches_a_node_that_is_ahead_of_the_reader_that_saw_it() {
+    let version = Version::new;
+    // The first reader's watch began before that of the second, and no server changed since.
+    let (mut first, mut second) = (ChangeLog::default(), ChangeLog::default());
+    first.on_list(version(550), [("a", version(3), &1)], false);
+    second.on_list(version(600), [("a", version(3), &1)], false);
+    let events = vec![("a".to_owned(), None::<(Version, u64)>)];
+    first.on_changes(version(701), numbered(events, version(701), false));
+    let batches = first.since(second.upto()).unwrap();
+    assert_eq!(batches[0].changes, [change(701, "a", None)]);
+}
+
+#[test]
+fn removals_are_numbered_no_later_than_the_changes_after_them() {
+    let version = Version::new;
+    let events = vec![
+        ("a".to_owned(), None),
+        ("a".to_owned(), Some((version(12), 1))),
+        ("b".to_owned(), None),
+        ("c".to_owned(), Some((version(15), 2))),
+    ];
+    let changes = numbered(events, version(20), false);
+    assert_eq!(
+        changes,
+        [
+            change(11, "a", None),
+            change(12, "a", Some(1)),
+            change(14, "b", None),
+            change(15, "c", Some(2))
+        ]
+    );
+}
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use catkinusher_core::confirm::WatchProgress;
-use catkinusher_core::feed::Change;
+use catkinusher_core::feed;
 use catkinusher_core::fingerprint::Fingerprint;
 use catkinusher_core::freshness::StoreOutage;
 use catkinusher_core::id::{DataCentreId, UpstreamId};
@@ -325,25 +325,17 @@
                 // The connection of the waiting call may have stalled.
                 () = handler.notifier().notified() => store.watch(handler.kind(), after, MIN_WATCH_TIMEOUT).await?,
             };
-            // A removal event may carry the version of the object's last change.
-            let version = |event: &Event<Value>| match event.value {
-                Some(_) => event.version,
-                None => watched.version,
-            };
-            let newest = watched.events.iter().map(version).max();
+            let events = watched.events.iter().map(|event| {
+                let value = event.value.clone();
+                (
+                    event.name.clone(),
+                    value.map(|value| (event.version, value)),
+                )
+            });
+            let changes = feed::numbered(events.collect(), watched.version, outage);
+            let newest = changes.iter().map(|change| change.version).max();
             if let Some(feed) = H::FEED {
-                // A removal may carry an old version, but must follow the changes before it.
-                let mut last = Version::new(after.get() + 1);
-                let changes = watched.events.iter().map(|event| {
-                    last = last.max(event.version);
-                    Change {
-                        version: last,
-                        name: event.name.clone(),
-                        value: event.value.clone(),
-                        outage,
-                    }
-                });
-                feeds.on_changes(feed, watched.version, changes.collect());
+                feeds.on_changes(feed, watched.version, changes);
             }
             for event in watched.events {
                 handler.on_event(event, outage);
