Send nothing more to an upstream that says in an answer that it leaves

What callers and operators saw: with the store away, or before its entry changes, an upstream that is leaving still got requests of nodes to which it had said so in its answers (header Server-Leaving; a new rule of the users).

The header was not read. The node now takes its word: its own placing and the last check before the first byte leave the upstream out, and it names it to the node that places, until a new process registers under the name.

--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -52,6 +52,8 @@
     rank: u64,
     warm_at: Time,
     expires_at: Option<Time>,
+    /// Whether it has said in an answer to this node that it is leaving.
+    said_leaving: bool,
     health: Health,
     own_load: Load,
     /// The sum of the loads of all peers, and of the grants that they have not reported yet.
@@ -155,6 +157,7 @@
         if let Some(entry) = self.entries.get_mut(&upstream.id) {
             if entry.upstream.started != upstream.started {
                 entry.health = Health::default();
+                entry.said_leaving = false;
             }
             entry.expires_at = None;
             entry.warm_at = warm_at;
@@ -165,6 +168,7 @@
             rank: place::rank(&upstream.id),
             warm_at,
             expires_at: None,
+            said_leaving: false,
             health: Health::default(),
             own_load: Load::default(),
             peer_load: Load::default(),
@@ -312,12 +316,12 @@
         self.short_ids.get(&short_id)
     }
 
-    /// Upstreams that this node cannot reach at present, or that fail its requests.
+    /// Upstreams that this node cannot reach at present, that fail its requests, or that told it to leave.
     #[must_use]
-    pub fn unhealthy(&self, now: Time) -> Vec<u32> {
+    pub fn unusable(&self, now: Time) -> Vec<u32> {
         self.entries
             .values()
-            .filter(|entry| !entry.health.is_healthy(now))
+            .filter(|entry| entry.said_leaving || !entry.health.is_healthy(now))
             .map(|entry| place::short_id(entry.rank))
             .collect()
     }
@@ -392,8 +396,19 @@
         }
     }
 
+    /// Records that an upstream has said in an answer that it is leaving.
+    ///
+    /// Its entry in the store may say so later, or never if the store is away.
+    /// Returns whether that is news.
+    pub fn on_leaving(&mut self, id: &UpstreamId) -> bool {
+        self.entries
+            .get_mut(id)
+            .is_some_and(|entry| !std::mem::replace(&mut entry.said_leaving, true))
+    }
+
     fn is_open(&self, entry: &Entry) -> bool {
-        !entry.upstream.leaving && !self.drained.contains(&entry.upstream.data_centre)
+        let is_leaving = entry.upstream.leaving || entry.said_leaving;
+        !is_leaving && !self.drained.contains(&entry.upstream.data_centre)
     }
 
     /// The load of an upstream, summed over this node and what it knows of its peers.
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -329,6 +329,9 @@
             response.headers(),
             &self.ask.id,
         );
+        if matches!(class, ResponseClass::Answer | ResponseClass::NotRun(_)) {
+            self.on_notice(upstream, &response);
+        }
         match class {
             ResponseClass::Answer => {
                 self.history.on_evidence(Evidence::Answered);
@@ -358,6 +361,15 @@
         }
     }
 
+    /// Records what an upstream says of itself in a response.
+    fn on_notice(&self, upstream: &UpstreamId, response: &Response<Incoming>) {
+        let dialect = &self.state.dialect;
+        let notice = dialect.parse_notice(response.status(), response.headers());
+        if notice.leaving && self.state.fleet().on_leaving(upstream) {
+            info!(event = "upstream", %upstream, leaving = true, outcome = "said");
+        }
+    }
+
     fn log_send(&self, placement: &Placement, fresh: bool, left: Duration) {
         let basis = &placement.basis;
         info!(
--- a/crates/catkinusherd/src/gateway/attempt/turn.rs
+++ b/crates/catkinusherd/src/gateway/attempt/turn.rs
@@ -15,7 +15,7 @@
 use crate::gateway::open::Stage;
 use crate::gateway::placing::{self, NotPlaced, Placed};
 
-/// The most unhealthy upstreams that an ask names.
+/// The most unusable upstreams that an ask names.
 const MAX_AVOIDED: usize = 24;
 
 impl<D> Job<D>
@@ -84,8 +84,8 @@
         let waited = now.since(self.received);
         let mut avoid = unusable.to_vec();
         avoid.extend(self.avoid.iter().map(Fleet::short_id));
-        let unhealthy = self.state.fleet().unhealthy(now);
-        avoid.extend(unhealthy.into_iter().take(MAX_AVOIDED));
+        let unusable = self.state.fleet().unusable(now);
+        avoid.extend(unusable.into_iter().take(MAX_AVOIDED));
         let millis = |time: Duration| time.as_millis() as u64;
         Ask {
             number,
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -108,6 +108,13 @@
     Mismatched,
 }
 
+/// What an upstream says of itself in the head of a response, beside the answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Notice {
+    /// It is shutting down and takes no new requests.
+    pub leaving: bool,
+}
+
 /// Translates between the gateway and the headers of callers and upstreams.
 pub trait Dialect: Debug + Clone + Send + Sync + 'static {
     /// Parses the head of a caller's request.
@@ -135,6 +142,9 @@
         id: &HeaderValue,
     ) -> ResponseClass;
 
+    /// Reads what the upstream says of itself in the head of a response.
+    fn parse_notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
+
     /// Sets the header that tells a refused caller when to retry.
     fn set_retry_after(&self, headers: &mut HeaderMap, wait: Duration);
 }
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -32,7 +32,7 @@
 mod watch;
 
 pub use self::dialect::{
-    Ask, Dialect, Dispatch, FailedUpstream, Helper, MalformedRequest, ReservationCommand,
+    Ask, Dialect, Dispatch, FailedUpstream, Helper, MalformedRequest, Notice, ReservationCommand,
     ResponseClass, StoreSchema,
 };
 pub use self::settings::Settings;
