Send nothing to an upstream that turns this node away, for as long as it says

The header was not read. The node now leaves the upstream out until then, both when it places alone and right before the first byte, and names it to the node that places. Other nodes may go on using it, since it turned only this one away. If no other upstream is there, the refusal tells the caller the time that is left.

--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -25,7 +25,7 @@
 use self::cell::Cells;
 use self::health::Health;
 use self::peers::PeerLoads;
-use crate::id::{DataCentreId, UpstreamId};
+use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::time::Time;
 use crate::units::Rate;
 
@@ -37,6 +37,9 @@
 /// The window over which requests to a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_millis(1100);
 
+/// The longest time for which an upstream may turn this node away with one answer.
+const MAX_REST: Duration = Duration::from_mins(10);
+
 /// The fraction of the rate of a cold upstream that a node uses which places for others.
 const SHARED_COLD_FRACTION: f64 = 0.45;
 
@@ -54,6 +57,8 @@
     expires_at: Option<Time>,
     /// Whether it has said in an answer to this node that it is leaving.
     said_leaving: bool,
+    /// Until when it wants no requests from this node.
+    rests_until: Time,
     health: Health,
     own_load: Load,
     /// The sum of the loads of all peers, and of the grants that they have not reported yet.
@@ -158,6 +163,7 @@
             if entry.upstream.started != upstream.started {
                 entry.health = Health::default();
                 entry.said_leaving = false;
+                entry.rests_until = Time::ZERO;
             }
             entry.expires_at = None;
             entry.warm_at = warm_at;
@@ -169,6 +175,7 @@
             warm_at,
             expires_at: None,
             said_leaving: false,
+            rests_until: Time::ZERO,
             health: Health::default(),
             own_load: Load::default(),
             peer_load: Load::default(),
@@ -316,12 +323,13 @@
         self.short_ids.get(&short_id)
     }
 
-    /// Upstreams that this node cannot reach at present, that fail its requests, or that told it to leave.
+    /// Upstreams that this node cannot reach at present, that fail its requests, or that want none.
     #[must_use]
     pub fn unusable(&self, now: Time) -> Vec<u32> {
+        let wants_none = |entry: &Entry| entry.said_leaving || now < entry.rests_until;
         self.entries
             .values()
-            .filter(|entry| entry.said_leaving || !entry.health.is_healthy(now))
+            .filter(|entry| wants_none(entry) || !entry.health.is_healthy(now))
             .map(|entry| place::short_id(entry.rank))
             .collect()
     }
@@ -335,12 +343,24 @@
             .map(|(id, _)| id)
     }
 
-    /// Whether an upstream may get requests: it is listed, not leaving, and its data centre is not drained.
+    /// Whether an upstream may get requests of this node: it is listed, neither leaving nor resting,
+    /// and its data centre is not drained.
     #[must_use]
-    pub fn accepts_requests(&self, id: &UpstreamId) -> bool {
+    pub fn accepts_requests(&self, id: &UpstreamId, now: Time) -> bool {
         self.entries
             .get(id)
-            .is_some_and(|entry| self.is_open(entry))
+            .is_some_and(|entry| self.is_open(entry) && now >= entry.rests_until)
+    }
+
+    /// The time until the first upstream of a service takes requests of this node again, if all rest.
+    #[must_use]
+    pub fn rest(&self, service: &ServiceId, now: Time) -> Option<Duration> {
+        self.entries
+            .values()
+            .filter(|entry| entry.upstream.service == *service && self.is_open(entry))
+            .map(|entry| entry.rests_until.since(now))
+            .min()
+            .filter(|rest| !rest.is_zero())
     }
 
     /// Records that a request is sent to an upstream.
@@ -406,6 +426,13 @@
             .is_some_and(|entry| !std::mem::replace(&mut entry.said_leaving, true))
     }
 
+    /// Records that an upstream turned a request away and wants none from this node for the time `rest`.
+    pub fn on_rest(&mut self, id: &UpstreamId, rest: Duration, now: Time) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.rests_until = entry.rests_until.max(now + rest.min(MAX_REST));
+        }
+    }
+
     fn is_open(&self, entry: &Entry) -> bool {
         let is_leaving = entry.upstream.leaving || entry.said_leaving;
         !is_leaving && !self.drained.contains(&entry.upstream.data_centre)
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -127,6 +127,8 @@
             .iter()
             .filter(|(_, entry)| entry.upstream.service == service.name && is_within(entry))
             .filter(|(_, entry)| self.is_open(entry))
+            // An upstream that turns this node away may serve the others.
+            .filter(|(_, entry)| demand.authority == Authority::Shared || now >= entry.rests_until)
             .filter(|(_, entry)| {
                 self.has_cold_capacity(entry, service.cold_rate, demand.authority, now)
             })
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -284,7 +284,9 @@
             return Err(AttemptError::DeadlinePassed);
         }
         // The upstream and the configuration may have changed while the connection was opened.
-        if !self.state.fleet().accepts_requests(upstream) || !self.state.trusts_configuration() {
+        let now = self.state.now();
+        let is_usable = self.state.fleet().accepts_requests(upstream, now);
+        if !is_usable || !self.state.trusts_configuration() {
             return Err(AttemptError::Unsent(
                 "upstream or configuration no longer usable".to_owned(),
             ));
@@ -368,6 +370,11 @@
         if notice.leaving && self.state.fleet().on_leaving(upstream) {
             info!(event = "upstream", %upstream, leaving = true, outcome = "said");
         }
+        if let Some(rest) = notice.rest {
+            let now = self.state.now();
+            self.state.fleet().on_rest(upstream, rest, now);
+            info!(event = "upstream", %upstream, rest_ms = rest.as_millis() as u64, outcome = "rests");
+        }
     }
 
     fn log_send(&self, placement: &Placement, fresh: bool, left: Duration) {
--- a/crates/catkinusherd/src/gateway/attempt/turn.rs
+++ b/crates/catkinusherd/src/gateway/attempt/turn.rs
@@ -23,10 +23,14 @@
     D: Dialect,
 {
     /// The refusal of a request that could not be placed, with the outcome that its earlier attempts prove.
+    ///
+    /// The caller may return after the time `after`, or when the first upstream
+    /// takes requests again if all turn this node away.
     pub(super) fn no_upstream_refusal(&self, after: Span) -> Refusal {
+        let rest = self.state.fleet().rest(&self.service, self.state.now());
         self.history.refusal_after_attempts(Refusal::NoUpstream {
             service: self.service.clone(),
-            after,
+            after: rest.map_or(after, Span::new),
         })
     }
 
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -113,6 +113,8 @@
 pub struct Notice {
     /// It is shutting down and takes no new requests.
     pub leaving: bool,
+    /// It turns the request away, and wants none from this node for so long.
+    pub rest: Option<Duration>,
 }
 
 /// Translates between the gateway and the headers of callers and upstreams.
--- a/crates/catkinusherd/src/gateway/placing.rs
+++ b/crates/catkinusherd/src/gateway/placing.rs
@@ -376,10 +376,11 @@
     let parts = granted.helpers.iter().chain([&granted.primary]);
     let mut found: Vec<(UpstreamId, _)> = Vec::new();
     let mut unusable = Vec::new();
+    let now = state.now();
     let fleet = state.fleet();
     for part in parts {
         match fleet.find_by_short_id(part.upstream) {
-            Some(id) if fleet.accepts_requests(id) => found.push((id.clone(), part.cost)),
+            Some(id) if fleet.accepts_requests(id, now) => found.push((id.clone(), part.cost)),
             _ => unusable.push(part.upstream),
         }
     }
