Keep to the limits that upstreams name, over all nodes

Cause: nothing read the header. Class: a limit over the whole fleet that no node can keep alone.

Change: the node that places requests in a cell spaces those to a limited upstream evenly. What an answer showed reaches it and its successor with the load reports; what was observed last counts, and that there is no limit any more is reported by whoever gets such an answer to a request that was placed under one. A node that takes over a duty is told what the others know.

What callers get: requests over the limits go to other upstreams; if there are none, short ones are refused at once with the time until the next one is allowed, long ones wait if it will be allowed in time. Short prompts leave limited engines to long ones as long as others have a slot.

--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod cell;
 mod health;
+mod limit;
 mod load;
 mod peers;
 mod place;
@@ -14,6 +15,7 @@
 
 pub use self::cell::{Cell, Pressure};
 pub use self::health::Fault;
+pub use self::limit::LimitReport;
 pub use self::load::{Cost, Load, WorkId, WorkKind};
 pub use self::peers::GRANT_TTL;
 pub use self::place::{Authority, Basis, Demand, Overload, Placement, Policy};
@@ -24,6 +26,7 @@
 
 use self::cell::Cells;
 use self::health::Health;
+use self::limit::NamedLimit;
 use self::peers::PeerLoads;
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
 use crate::time::Time;
@@ -59,6 +62,7 @@
     said_leaving: bool,
     /// Until when it wants no requests from this node.
     rests_until: Time,
+    limit: NamedLimit,
     health: Health,
     own_load: Load,
     /// The sum of the loads of all peers, and of the grants that they have not reported yet.
@@ -70,7 +74,11 @@
 }
 
 impl Entry {
-    fn on_send(&mut self, now: Time) {
+    fn on_send(&mut self, cost: &Cost, nodes: usize, now: Time) {
+        // A part of a prompt that another upstream answers is not a request.
+        if cost.kind != WorkKind::Part {
+            self.limit.on_send(nodes, now);
+        }
         self.recent_sends.retain(|at| now.since(*at) < COLD_WINDOW);
         self.recent_sends.push(now);
     }
@@ -164,6 +172,7 @@
                 entry.health = Health::default();
                 entry.said_leaving = false;
                 entry.rests_until = Time::ZERO;
+                entry.limit = NamedLimit::default();
             }
             entry.expires_at = None;
             entry.warm_at = warm_at;
@@ -176,6 +185,7 @@
             expires_at: None,
             said_leaving: false,
             rests_until: Time::ZERO,
+            limit: NamedLimit::default(),
             health: Health::default(),
             own_load: Load::default(),
             peer_load: Load::default(),
@@ -367,10 +377,11 @@
     pub fn begin(&mut self, id: &UpstreamId, cost: Cost, now: Time) -> WorkId {
         self.next_work += 1;
         let work = WorkId::new(self.next_work);
+        let nodes = self.node_count(now);
         if let Some(entry) = self.entries.get_mut(id) {
             entry.own_load.add(&cost);
             entry.backlog.add(cost.prefill_time.as_millis() as u64, now);
-            entry.on_send(now);
+            entry.on_send(&cost, nodes, now);
         }
         self.in_flight.insert(work.get(), (id.clone(), cost, false));
         work
--- a/crates/catkinusher-core/src/fleet/peers.rs
+++ b/crates/catkinusher-core/src/fleet/peers.rs
@@ -146,6 +146,7 @@
     /// Records that this node placed a request for a peer, and returns the number of the grant.
     pub fn grant(&mut self, peer: u64, placement: &Placement, now: Time) -> u64 {
         self.expire_peers(now);
+        let nodes = self.node_count(now);
         let mut state = self
             .peers
             .remove(&peer)
@@ -162,7 +163,7 @@
             let prefill_ms = cost.prefill_time.as_millis() as u64;
             entry.add_grant(peer, number, &cost);
             entry.backlog.add(prefill_ms, now);
-            entry.on_send(now);
+            entry.on_send(&cost, nodes, now);
             let short_id = super::place::short_id(entry.rank);
             *state.credits.entry(short_id).or_default() += prefill_ms;
             parts.push((id.clone(), short_id, cost));
@@ -271,7 +272,7 @@
         }
     }
 
-    fn entry_by_short_id_mut(&mut self, short_id: u32) -> Option<&mut Entry> {
+    pub(super) fn entry_by_short_id_mut(&mut self, short_id: u32) -> Option<&mut Entry> {
         let id = self.short_ids.get(&short_id)?;
         self.entries.get_mut(id)
     }
--- a/crates/catkinusher-core/src/fleet/place/long.rs
+++ b/crates/catkinusher-core/src/fleet/place/long.rs
@@ -99,7 +99,7 @@
         let primary = groups
             .into_iter()
             .find_map(|group| self.choose_primary(group, max_helpers, rng))
-            .ok_or(Overload::Full(RETRY_AFTER_LONG))?;
+            .ok_or_else(|| self.no_primary(max_helpers))?;
         let helpers = self.choose_helpers(readers, primary, max_helpers);
         let part_time = self.prefill_time / (helpers.len() as u32 + 1);
         // As in `place_prompt`, half of the maximum stands for the unknown length of the answer.
@@ -201,6 +201,32 @@
             + candidate.failure_rate * FAILURE_WEIGHT
     }
 
+    /// Whether an engine has a slot and memory to answer.
+    fn fits(&self, candidate: &Candidate<'_>, max_helpers: usize) -> bool {
+        let kept = self.total_tokens().get().div_ceil(self.spread(max_helpers));
+        kept <= self.free_tokens(candidate) && candidate.load.active_requests() < self.profile.slots
+    }
+
+    /// The wait or refusal if no engine can answer now.
+    ///
+    /// A prompt waits if the limit that an engine names will allow it in time.
+    fn no_primary(&self, max_helpers: usize) -> Overload {
+        let waits = self
+            .engines
+            .iter()
+            .filter(|candidate| self.fits(candidate, max_helpers))
+            .filter_map(|candidate| candidate.limit_wait);
+        let part_time = self.prefill_time / (max_helpers as u32 + 1);
+        let is_in_time = |wait: Duration| {
+            self.demand.waited + wait + part_time * 2 + PATIENCE_RESERVE < self.demand.patience
+        };
+        if waits.min().is_some_and(is_in_time) {
+            Overload::Queued(RETRY_INTERVAL)
+        } else {
+            Overload::Full(RETRY_AFTER_LONG)
+        }
+    }
+
     /// The engine of `group` that answers, if one has capacity.
     fn choose_primary<'a, R>(
         &self,
@@ -211,14 +237,9 @@
     where
         R: Rng,
     {
-        let kept = self.total_tokens().get().div_ceil(self.spread(max_helpers));
-        let fits = |candidate: &&Candidate<'_>| {
-            kept <= self.free_tokens(candidate)
-                && candidate.load.active_requests() < self.profile.slots
-        };
         group
             .iter()
-            .filter(fits)
+            .filter(|candidate| candidate.may_answer() && self.fits(candidate, max_helpers))
             .map(|candidate| {
                 (
                     Self::score(candidate) + rng.random_range(0.0..1.0),
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -63,6 +63,8 @@
     load: Load,
     local: bool,
     failure_rate: f64,
+    /// The time until the limit that it names allows another request, or `None` if it allows this node none.
+    limit_wait: Option<Duration>,
 }
 
 impl Candidate<'_> {
@@ -71,6 +73,11 @@
         let distance = if self.local { 0.0 } else { REMOTE_PENALTY };
         FAILURE_WEIGHT * self.failure_rate + distance
     }
+
+    /// Whether the limit that it names allows it to answer another request now.
+    fn may_answer(&self) -> bool {
+        self.limit_wait == Some(Duration::ZERO)
+    }
 }
 
 impl Fleet {
@@ -133,6 +140,7 @@
                 self.has_cold_capacity(entry, service.cold_rate, demand.authority, now)
             })
             .collect();
+        let nodes = self.node_count(now);
         let untried = |id: &UpstreamId| !demand.avoid.contains(id);
         let healthy = |entry: &Entry| entry.health.is_healthy(now);
         // Upstreams that back off, fail often or have failed this request are used only if there are no others.
@@ -150,6 +158,7 @@
                 load: self.total_load(entry, now),
                 local: entry.upstream.data_centre == self.home,
                 failure_rate: entry.health.failure_rate(now),
+                limit_wait: entry.limit.wait(demand.authority, nodes, now),
             })
             .collect()
     }
@@ -171,7 +180,7 @@
             let utilization = f64::from(candidate.load.active_requests()) / slots;
             utilization + candidate.penalty()
         };
-        let best = pick_lowest(&candidates, score, rng).ok_or(Overload::None)?;
+        let best = pick_lowest(&candidates, score, rng).ok_or_else(|| over_limit(&candidates))?;
         let slots = best.entry.upstream.slots;
         if best.load.active_requests() >= slots + policy.max_queued.max(slots) {
             return Err(Overload::Full(RETRY_AFTER_PLAIN));
@@ -219,7 +228,9 @@
     if needed > demand.time_left {
         return Err(Overload::Late(needed));
     }
-    engines.sort_by_key(|candidate| candidate.entry.rank);
+    // Engines that name a limit come last: a limit counts requests, so it is kept for long prompts
+    // and for what the other engines cannot answer.
+    engines.sort_by_key(|candidate| (candidate.entry.limit.is_set(), candidate.entry.rank));
     let prefill_time = profile.prefill_time(demand.prompt);
     let shorts = pool_sizes.short_engines(&engines, profile, policy, now);
     if prefill_time < policy.long_threshold {
@@ -259,11 +270,12 @@
         utilization + full_penalty + prefill + candidate.penalty()
     };
     let short_engines = &engines[..shorts.clamp(1, engines.len())];
-    let mut best = pick_lowest(short_engines, score, rng).ok_or(Overload::None)?;
-    if best.load.active_requests() >= profile.slots {
+    let has_slot = |best: &&Candidate<'_>| best.load.active_requests() < profile.slots;
+    let best = pick_lowest(short_engines, score, rng)
+        .filter(has_slot)
         // An engine for long prompts is better than waiting for a slot.
-        best = pick_lowest(engines, score, rng).ok_or(Overload::None)?;
-    }
+        .or_else(|| pick_lowest(engines, score, rng))
+        .ok_or_else(|| over_limit(engines))?;
     if best.load.active_requests() >= profile.slots + policy.max_queued {
         return Err(Overload::Full(RETRY_AFTER_SHORT));
     }
@@ -285,7 +297,17 @@
     })
 }
 
-/// The candidate with the lowest score; ties are broken at random.
+/// The refusal when no candidate may answer because of the limits that they name.
+fn over_limit(candidates: &[Candidate<'_>]) -> Overload {
+    let waits = candidates
+        .iter()
+        .filter_map(|candidate| candidate.limit_wait);
+    waits.min().map_or(Overload::None, |wait| {
+        Overload::Full(wait.max(RETRY_AFTER_PLAIN))
+    })
+}
+
+/// The candidate with the lowest score among those that may answer; ties are broken at random.
 fn pick_lowest<'a, 'b, F, R>(
     candidates: &'b [Candidate<'a>],
     score: F,
@@ -297,6 +319,7 @@
 {
     candidates
         .iter()
+        .filter(|candidate| candidate.may_answer())
         .map(|candidate| {
             (
                 score(candidate) + rng.random_range(0.0..TIE_WIDTH),
--- a/crates/catkinusher-core/src/placer/message.rs
+++ b/crates/catkinusher-core/src/placer/message.rs
@@ -149,6 +149,9 @@
     /// The longest pending prefill among the chosen upstreams, in milliseconds.
     #[serde(rename = "w")]
     pub wait: u64,
+    /// Whether the upstream that answers is believed to have a limit; an answer without one is news.
+    #[serde(rename = "n", default, skip_serializing_if = "std::ops::Not::not")]
+    pub limited: bool,
 }
 
 /// The decision on an ask.
--- a/crates/catkinusher-core/src/placer/mod.rs
+++ b/crates/catkinusher-core/src/placer/mod.rs
@@ -278,14 +278,15 @@
             let grant = asker
                 .peer
                 .map_or(0, |peer| context.fleet.grant(peer, &placement, context.now));
-            Verdict::Granted(granted(grant, &placement))
+            let limited = context.fleet.named_limit(&placement.primary).is_some();
+            Verdict::Granted(granted(grant, &placement, limited))
         }
         Err(Overload::Queued(_)) => Verdict::Waiting,
         Err(overload) => Verdict::Overloaded(overload),
     }
 }
 
-fn granted(grant: u64, placement: &Placement) -> Granted {
+fn granted(grant: u64, placement: &Placement, limited: bool) -> Granted {
     let part = |id: &UpstreamId, cost| Part {
         upstream: Fleet::short_id(id),
         cost,
@@ -301,5 +302,6 @@
         choices: placement.basis.choices as u32,
         load: placement.basis.load,
         wait: placement.basis.wait.as_millis() as u64,
+        limited,
     }
 }
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -12,7 +12,7 @@
 use catkinusher_core::fleet::{Cost, Fault, Placement, WorkId};
 use catkinusher_core::id::UpstreamId;
 use catkinusher_core::outcome::{Evidence, Refusal};
-use catkinusher_core::units::Span;
+use catkinusher_core::units::{Rate, Span};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -370,8 +370,19 @@
         if notice.leaving && self.state.fleet().on_leaving(upstream) {
             info!(event = "upstream", %upstream, leaving = true, outcome = "said");
         }
+        let now = self.state.now();
+        let mut fleet = self.state.fleet();
+        let before = fleet.named_limit(upstream);
+        let is_news = fleet.on_limit(upstream, notice.limit, now);
+        drop(fleet);
+        if before != notice.limit {
+            let limit = notice.limit.map(Rate::get);
+            info!(event = "upstream", %upstream, limit, outcome = "limit");
+        }
+        if is_news {
+            self.state.load_changed.notify_one();
+        }
         if let Some(rest) = notice.rest {
-            let now = self.state.now();
             self.state.fleet().on_rest(upstream, rest, now);
             info!(event = "upstream", %upstream, rest_ms = rest.as_millis() as u64, outcome = "rests");
         }
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -9,7 +9,7 @@
 use catkinusher_core::directory::Directory;
 use catkinusher_core::fleet::Upstream;
 use catkinusher_core::id::{CustomerId, PartId, UpstreamId};
-use catkinusher_core::units::Tokens;
+use catkinusher_core::units::{Rate, Tokens};
 use catkinusher_platform::form::Form;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
@@ -115,6 +115,8 @@
     pub leaving: bool,
     /// It turns the request away, and wants none from this node for so long.
     pub rest: Option<Duration>,
+    /// The requests a second that it takes from all nodes together.
+    pub limit: Option<Rate>,
 }
 
 /// Translates between the gateway and the headers of callers and upstreams.
--- a/crates/catkinusherd/src/gateway/peers/message.rs
+++ b/crates/catkinusherd/src/gateway/peers/message.rs
@@ -7,7 +7,7 @@
 
 use catkinusher_core::confirm::ConfirmReply;
 use catkinusher_core::feed::Batch;
-use catkinusher_core::fleet::{Cell, Load, Pressure};
+use catkinusher_core::fleet::{Cell, LimitReport, Load, Pressure};
 use catkinusher_core::id::{DataCentreId, ServiceId};
 use catkinusher_core::object::Version;
 use catkinusher_core::placer::{Answer, Ask};
@@ -138,6 +138,9 @@
     /// The reply to a query.
     #[serde(rename = "w")]
     ConfirmReply(ConfirmReply),
+    /// What answers to the sender showed about the limits that upstreams name.
+    #[serde(rename = "m")]
+    Limits(Vec<LimitReport>),
     /// Changes of one kind of object in the store.
     #[serde(rename = "c")]
     Changes(Feed, Batch<Value>),
--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -164,6 +164,13 @@
                     }
                 }
             }
+            Ok(Message::Limits(reports)) => {
+                let now = state.now();
+                let mut fleet = state.fleet();
+                for report in &reports {
+                    fleet.on_limit_report(report, now);
+                }
+            }
             Ok(Message::Changes(feed, batch)) => state.feeds.deliver(feed, batch),
             Ok(Message::ConfirmReply(reply)) => confirm::on_peer_reply(&state, &reply),
             Ok(Message::Ask(question)) => placing::on_question(&state, &socket, question, from),
--- a/crates/catkinusherd/src/gateway/peers/reports.rs
+++ b/crates/catkinusherd/src/gateway/peers/reports.rs
@@ -1,11 +1,11 @@
-//! Reports of this node's load to the nodes that place requests.
+//! Reports of this node's load, and of the limits that upstreams named, to the nodes that place requests.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use catkinusher_core::fleet::{Cell, Load};
+use catkinusher_core::fleet::{Cell, LimitReport, Load};
 use catkinusher_core::time::Time;
 use tokio::net::UdpSocket;
 
@@ -23,11 +23,16 @@
 /// The nodes that get the reports for a cell: the one that places its requests, and its successor.
 const INFORMED: usize = 2;
 
+/// The number of limits in one message, so that it fits into a datagram.
+const MAX_LIMITS: usize = 128;
+
 /// What was reported to one node.
 #[derive(Debug)]
 struct Reported {
     loads: HashMap<u32, Load>,
     next_full: Time,
+    /// When the last answer arrived whose limit was reported.
+    limits_at: Time,
 }
 
 /// Sends reports as long as the node runs.
@@ -55,7 +60,12 @@
             let known = reported.entry(peer).or_insert_with(|| Reported {
                 loads: HashMap::new(),
                 next_full: now,
+                limits_at: Time::ZERO,
             });
+            for limits in limits_since(&state, &cells, known.limits_at).chunks(MAX_LIMITS) {
+                known.limits_at = now;
+                message::send(&socket, &Message::Limits(limits.to_vec()), peer);
+            }
             let is_full = now >= known.next_full;
             let rows: Vec<(u32, Load)> = loads
                 .iter()
@@ -107,3 +117,14 @@
     let fleet = state.fleet();
     cells.iter().flat_map(|cell| fleet.loads_in(cell)).collect()
 }
+
+/// What answers since `after` showed about the limits of the cells' upstreams.
+fn limits_since<D>(state: &State<D>, cells: &BTreeSet<Cell>, after: Time) -> Vec<LimitReport> {
+    let now = state.now();
+    let fleet = state.fleet();
+    let reports = cells.iter().flat_map(|cell| fleet.limit_reports(cell, now));
+    reports
+        .filter(|(at, _)| *at > after)
+        .map(|(_, report)| report)
+        .collect()
+}
--- a/crates/catkinusherd/src/gateway/placing.rs
+++ b/crates/catkinusherd/src/gateway/placing.rs
@@ -377,7 +377,7 @@
     let mut found: Vec<(UpstreamId, _)> = Vec::new();
     let mut unusable = Vec::new();
     let now = state.now();
-    let fleet = state.fleet();
+    let mut fleet = state.fleet();
     for part in parts {
         match fleet.find_by_short_id(part.upstream) {
             Some(id) if fleet.accepts_requests(id, now) => found.push((id.clone(), part.cost)),
@@ -387,6 +387,9 @@
     let primary = found.last().map(|(id, _)| id.clone());
     let address = primary.as_ref().and_then(|id| fleet.get(id));
     let address = address.map(|upstream| upstream.address);
+    if let Some(primary) = primary.as_ref().filter(|_| granted.limited) {
+        fleet.on_limit_believed(primary);
+    }
     drop(fleet);
     let (Some(primary), Some(address), true) = (primary, address, unusable.is_empty()) else {
         return Reply::Unusable(unusable);
