Do not believe a refusal on a kept connection that names no request

Here a copy that names the earlier request was always noticed, and requests that may run once get a new connection. A copy without an id was believed on a connection that had carried another request: 503 with outcome not-run for a request that ran. On such a connection a response now has to name its request, refusals and 421 included; on a new one it can only be its own.

--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -330,6 +330,7 @@
             response.status(),
             response.headers(),
             &self.ask.id,
+            !fresh,
         );
         if matches!(class, ResponseClass::Answer | ResponseClass::NotRun(_)) {
             self.on_notice(upstream, &response);
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -139,11 +139,15 @@
     ) -> http::Request<Bytes>;
 
     /// Classifies the head of an upstream's response to the request `id`.
+    ///
+    /// On a `reused` connection, a response that does not name its request may be
+    /// a late copy of one to an earlier request.
     fn classify_response(
         &self,
         status: StatusCode,
         headers: &HeaderMap,
         id: &HeaderValue,
+        reused: bool,
     ) -> ResponseClass;
 
     /// Reads what the upstream says of itself in the head of a response.
