Take text without an id for no event of a numbered stream

Here the answer of the server that resumes is only used if it is a 200. But a server that breaks off by writing an error into its own stream, which ends with the connection, had it passed on as an event: nothing asked for an id.

Once an event of a stream has an id, all others must, but for comments. What has none ends the stream of that upstream, which is resumed elsewhere or breaks off; the rest of the bytes is dropped.

--- a/crates/catkinusher-core/src/events/mod.rs
+++ b/crates/catkinusher-core/src/events/mod.rs
@@ -23,6 +23,12 @@
         /// The id of the event.
         found: u64,
     },
+    /// An event has no id although those before it do.
+    #[error("event after {last} has no id")]
+    NoId {
+        /// The id of the last forwarded event.
+        last: u64,
+    },
 }
 
 /// The end of a stream that cannot be forwarded any further.
@@ -43,6 +49,8 @@
     count: u64,
     /// Whether a gap in the ids is an error; a stream may resume after a gap.
     strict: bool,
+    /// Whether an event had an id; from then on all must, so that text which is no event is noticed.
+    numbered: bool,
 }
 
 impl EventSplitter {
@@ -54,6 +62,7 @@
             last_id,
             count: 0,
             strict: false,
+            numbered: false,
         }
     }
 
@@ -85,8 +94,9 @@
     ///
     /// # Errors
     ///
-    /// Returns the events before the fault if an event is too long, or if its id
-    /// shows that an event is missing or repeated. The rest is discarded.
+    /// Returns the events before the fault if an event is too long, has no id
+    /// although earlier ones do, or if its id shows that an event is missing or
+    /// repeated. The rest is discarded.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Malformed> {
         let buffered = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
@@ -96,7 +106,8 @@
         let mut fault = None;
         while let Some(end) = blank_line(&self.buffer, from) {
             let found = event_id(&self.buffer[complete..end]);
-            fault = self.check(found).err();
+            let is_comment = is_comment(&self.buffer[complete..end]);
+            fault = self.check(found, is_comment).err();
             if fault.is_some() {
                 break;
             }
@@ -118,9 +129,12 @@
     }
 
     /// Checks the id of the next event against those before it.
-    fn check(&mut self, found: Option<u64>) -> Result<(), EventError> {
+    fn check(&mut self, found: Option<u64>, is_comment: bool) -> Result<(), EventError> {
         let Some(found) = found else {
-            return Ok(());
+            return match self.last_id {
+                Some(last) if self.numbered && !is_comment => Err(EventError::NoId { last }),
+                _ => Ok(()),
+            };
         };
         if let Some(last) = self.last_id
             && found != last + 1
@@ -129,6 +143,7 @@
             return Err(EventError::OutOfOrder { last, found });
         }
         self.last_id = Some(found);
+        self.numbered = true;
         self.strict = true;
         Ok(())
     }
@@ -148,6 +163,14 @@
     None
 }
 
+/// Whether an event consists of comments alone, which keep a connection open.
+fn is_comment(event: &[u8]) -> bool {
+    event
+        .split(|byte| *byte == b'\n')
+        .map(<[u8]>::trim_ascii)
+        .all(|line| line.is_empty() || line.starts_with(b":"))
+}
+
 /// The numeric id in an event's `id` line.
 fn event_id(event: &[u8]) -> Option<u64> {
     event
--- a/crates/catkinusher-core/tests/events.rs
+++ b/crates/catkinusher-core/tests/events.rs
@@ -99,6 +99,20 @@
     }
 }
 
+#[test]
+fn text_without_an_id_is_no_event_of_a_numbered_stream() {
+    let mut splitter = EventSplitter::resume_after(None);
+    let plain = b"data: a\n\ndata: b\n\n";
+    assert_eq!(splitter.push(plain), Ok(plain.to_vec()), "no ids at all");
+    let numbered = b"id: 1\ndata: c\n\n: keep-alive\n\n";
+    assert_eq!(splitter.push(numbered), Ok(numbered.to_vec()));
+    let head = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\n";
+    assert_eq!(
+        fault(splitter.push(head)),
+        Some(EventError::NoId { last: 1 })
+    );
+}
+
 #[test]
 fn events_before_a_fault_in_the_same_bytes_are_not_lost() {
     let mut splitter = EventSplitter::resume_after(None);
