--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -156,7 +156,7 @@
     match outcome {
         ReplyOutcome::Confirmed => {}
         ReplyOutcome::Behind => {
-            // Each revision is logged once.
+            // Replies that repeat it before the next read are not logged.
             if known < Some(reply.known.revision) {
                 info!(
                     event = "confirm",
