--- a/review/harness/cases/mod.rs
+++ b/review/harness/cases/mod.rs
@@ -1,5 +1,9 @@
 //! The scenarios, one for each case.
 
+mod limit;
+mod memory;
+mod poison;
+mod recover;
 mod route;
 
 use std::sync::Arc;
@@ -9,6 +13,11 @@
 /// Runs a scenario; an error says how the rule was broken.
 pub fn run(case: &str, trouble: bool, record: &Arc<Record>) -> Result<String, String> {
     match case {
+        "limit" => limit::run(trouble, record),
+        "sound" => poison::run_sound(trouble, record),
+        "bursts" => poison::run_bursts(trouble, record),
+        "memory" => memory::run(trouble, record),
+        "recover" => recover::run(trouble, record),
         "route" => route::run(trouble, record),
         _ => crate::cannot_run("there is no such case"),
     }
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -105,6 +105,23 @@
 
 /// Sends a request on a new channel, and reads its answer for `limit` at most.
 pub fn call(to: SocketAddr, request: &[u8], limit: Duration) -> Answer {
+    let sent = Instant::now();
+    if let Ok(mut stream) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) {
+        let _nodelay = stream.set_nodelay(true);
+        return exchange(&mut stream, request, limit);
+    }
+    Answer {
+        status: 0,
+        headers: Vec::new(),
+        body: Vec::new(),
+        whole: false,
+        sent,
+        took: sent.elapsed(),
+    }
+}
+
+/// Sends a request on a kept channel, and reads its answer for `limit` at most.
+pub fn exchange(stream: &mut TcpStream, request: &[u8], limit: Duration) -> Answer {
     let sent = Instant::now();
     let mut answer = Answer {
         status: 0,
@@ -114,11 +131,8 @@
         sent,
         took: Duration::ZERO,
     };
-    if let Ok(mut stream) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) {
-        let _nodelay = stream.set_nodelay(true);
-        if stream.write_all(request).is_ok() {
-            read_answer(&mut stream, &mut answer, sent + limit);
-        }
+    if stream.write_all(request).is_ok() {
+        read_answer(stream, &mut answer, sent + limit);
     }
     answer.took = sent.elapsed();
     answer
--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -13,10 +13,12 @@
 
 unsafe extern "C" {
     fn prctl(option: i32, ...) -> i32;
+    fn kill(pid: i32, signal: i32) -> i32;
 }
 
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+const SIGTERM: i32 = 15;
 
 /// The command of the deploy file.
 const PROGRAM: &str = "target/release/catkinusher-node";
@@ -145,12 +147,47 @@
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            let is_running = matches!(child.try_wait(), Ok(None));
             let _killed = child.kill();
             let _status = child.wait();
-            self.record.note(&format!("node {} is killed", self.name));
+            let how = if is_running { "is killed" } else { "has ended" };
+            self.record.note(&format!("node {} {how}", self.name));
         }
     }
 
+    /// Sends SIGTERM, waits until the process has ended, and starts it again.
+    ///
+    /// Kills the process and returns false if it has not ended within `grace`.
+    pub fn restart_by_term(&mut self, grace: Duration) -> bool {
+        let Some(child) = self.child.as_mut() else {
+            return false;
+        };
+        self.record.note(&format!("node {} gets SIGTERM", self.name));
+        unsafe {
+            kill(child.id() as i32, SIGTERM);
+        }
+        let until = Instant::now() + grace;
+        while matches!(child.try_wait(), Ok(None)) && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let in_time = matches!(child.try_wait(), Ok(Some(_)));
+        self.kill();
+        self.spawn();
+        in_time
+    }
+
+    /// The memory of the process, in bytes.
+    pub fn memory(&self) -> u64 {
+        let Some(child) = self.child.as_ref() else {
+            return 0;
+        };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse().ok());
+        kilobytes.unwrap_or(0_u64) * 1024
+    }
+
     /// Whether its process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -39,6 +39,12 @@
     pub body: usize,
 }
 
+impl Ask {
+    fn is_get(&self) -> bool {
+        self.path.starts_with("/roster/")
+    }
+}
+
 /// The deployment.
 #[derive(Debug)]
 pub struct Site {
@@ -133,15 +139,14 @@
 }
 
 impl Client {
-    /// Sends a request to a machine, under an id that begins with `label`.
-    pub fn send(&self, node: (&str, std::net::SocketAddr), label: &str, ask: &Ask) -> (String, Answer) {
+    /// Builds a request under a new id that begins with `label`.
+    pub fn request(&self, label: &str, ask: &Ask) -> (String, Vec<u8>) {
         let number = self.next.fetch_add(1, Ordering::SeqCst);
         let id = format!("{label}-{number:04}");
-        let method = if ask.path.starts_with("/roster/") { "GET" } else { "POST" };
-        let length = if method == "GET" {
-            String::new()
+        let (method, length, body) = if ask.is_get() {
+            ("GET", String::new(), 0)
         } else {
-            format!("Content-Length: {}\r\n", ask.body)
+            ("POST", format!("Content-Length: {}\r\n", ask.body), ask.body)
         };
         let head = format!(
             "{method} {} HTTP/1.1\r\nHost: rota.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\
@@ -151,7 +156,14 @@
             ask.lines
         );
         let mut bytes = head.into_bytes();
-        bytes.resize(bytes.len() + if method == "GET" { 0 } else { ask.body }, b'x');
+        bytes.resize(bytes.len() + body, b'x');
+        (id, bytes)
+    }
+
+    /// Sends a request to a machine, under an id that begins with `label`.
+    pub fn send(&self, node: (&str, std::net::SocketAddr), label: &str, ask: &Ask) -> (String, Answer) {
+        let (id, bytes) = self.request(label, ask);
+        let method = if ask.is_get() { "GET" } else { "POST" };
         self.record
             .note(&format!("client: {id} {method} {} is sent to {}", ask.path, node.0));
         let answer = http::call(node.1, &bytes, ask.patience);
