--- a/review/harness/cases/mod.rs
+++ b/review/harness/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The scenarios, one for each case.
 
+mod config;
 mod limit;
 mod memory;
 mod poison;
@@ -13,6 +14,7 @@
 /// Runs a scenario; an error says how the rule was broken.
 pub fn run(case: &str, trouble: bool, record: &Arc<Record>) -> Result<String, String> {
     match case {
+        "config" => config::run(trouble, record),
         "limit" => limit::run(trouble, record),
         "sound" => poison::run_sound(trouble, record),
         "bursts" => poison::run_bursts(trouble, record),
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -18,7 +18,7 @@
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
 /// The figures of the engines are those of the site file.
-const MANIFEST: &str = r#"{"version":7,"routes":[
+pub const MANIFEST: &str = r#"{"version":7,"routes":[
 {"name":"r-draft","host":"rota.example","path-prefix":"/draft/","kind":"stream","timeout-ms":10000,"slo-ms":300,"priority":1,"service":"rota-llm","attempts":2,"public":false,"sticky":true,"resumable":true,"gap-aim-ms":200},
 {"name":"r-rebuild","host":"rota.example","path-prefix":"/rebuild/","kind":"stream","timeout-ms":15000,"slo-ms":3000,"priority":1,"service":"rota-llm","attempts":2,"public":false,"sticky":true,"resumable":true,"gap-aim-ms":800},
 {"name":"r-swap","host":"rota.example","path-prefix":"/swap/","kind":"unsafe","timeout-ms":3000,"slo-ms":300,"priority":2,"service":"rota-app","attempts":1,"public":false},
