--- a/review/harness/cases/mod.rs
+++ b/review/harness/cases/mod.rs
@@ -17,7 +17,7 @@
         "config" => config::run(trouble, record),
         "limit" => limit::run(trouble, record),
         "sound" => poison::run_sound(trouble, record),
-        "bursts" => poison::run_bursts(trouble, record),
+        "deep" => poison::run_deep(trouble, record),
         "memory" => memory::run(trouble, record),
         "recover" => recover::run(trouble, record),
         "route" => route::run(trouble, record),
--- a/review/harness/cases/poison.rs
+++ b/review/harness/cases/poison.rs
@@ -16,8 +16,8 @@
 /// `stable-window-ms`.
 const STABLE: Duration = Duration::from_secs(3);
 
-/// The deadly requests of one burst, which fill a few servers.
-const BURST: usize = 30;
+/// The sound parts before the deadly one.
+const DOCUMENTS: usize = 33;
 
 fn engine(server: &Server, request: &Request, stream: &mut TcpStream) -> bool {
     server.on_arrival(request, true);
@@ -164,23 +164,24 @@
     }
 }
 
-/// The deadly prompts come in bursts, as a caller sends several at once.
-pub fn run_bursts(trouble: bool, record: &Arc<Record>) -> Result<String, String> {
+/// The deadly part stands behind many sound ones.
+pub fn run_deep(trouble: bool, record: &Arc<Record>) -> Result<String, String> {
     let site = Site::start((8, engine), (1, app), &[0.17, 0.17, 0.17], record);
     site.settle();
     let mut sender = Sender::new(&site);
+    let documents: Vec<_> = (1..=DOCUMENTS).map(|number| format!("d{number:02}:30")).collect();
+    let documents = documents.join(",");
     let mut calls = Vec::new();
     for tick in 0..200 {
-        if trouble && tick % 40 == 20 {
-            for _ in 0..BURST {
-                calls.push(sender.send("deadly", "c7:1000,dead:200"));
-            }
+        if trouble && tick % 4 == 2 {
+            calls.push(sender.send("deadly", &format!("{documents},dead:200")));
         }
-        calls.push(sender.send("sound", &format!("c7:1000,b{}:200", tick % 5)));
+        calls.push(sender.send("sound", &format!("{documents},b{}:200", tick % 5)));
         pause(120);
     }
+    let mut cut = 0;
     for call in calls {
-        let _ended = call.join();
+        cut += usize::from(call.join().is_ok_and(|(_, answer)| !answer.is_success()));
     }
     let crashes = crashes(&site);
     let arrivals: Vec<_> = site.servers_of(LLM).iter().flat_map(|one| one.arrivals()).collect();
@@ -194,7 +195,8 @@
         .filter(|arrival| arrival.at > from && arrival.id.starts_with("deadly"))
         .count();
     let text = format!(
-        "{} crashes, {late} arrivals of deadly requests later than stable-window-ms after the fifth",
+        "{} crashes, {late} arrivals of deadly requests later than stable-window-ms after the fifth; \
+         {cut} requests of both kinds had no whole answer",
         crashes.len()
     );
     if late > 3 { Err(format!("BUDGET: {text}")) } else { Ok(text) }
