--- a/review/harness/cases/config.rs
+++ b/review/harness/cases/config.rs
@@ -14,19 +14,24 @@
 const CONFIG: Duration = Duration::from_secs(2);
 
 fn work(server: &Server, request: &Request, stream: &mut TcpStream) -> bool {
-    server.on_arrival(request, true);
+    server.on_arrival(request);
     thread::sleep(Duration::from_millis(60));
     server.answer(request, stream, 200, "Server-Load: 1,0,6\r\n", "done")
 }
 
 /// The next version, without the route `r-roster`; the tenant has this rank.
 fn next_version(rank: u32) -> String {
-    let from = MANIFEST.find(",\n{\"name\":\"r-roster\"").expect("the route");
+    let from = MANIFEST
+        .find(",\n{\"name\":\"r-roster\"")
+        .expect("the route");
     let to = from + MANIFEST[from..].find("}]").expect("the end of the routes") + 1;
     let text = format!("{}{}", &MANIFEST[..from], &MANIFEST[to..]);
     let text = text.replace("\"version\":7", "\"version\":9");
     let ranked = format!("\"api-keys\":[\"n2ctnfzs989anu6wsjnb\"],\"priority\":{rank}");
-    let text = text.replace("\"api-keys\":[\"n2ctnfzs989anu6wsjnb\"],\"priority\":1", &ranked);
+    let text = text.replace(
+        "\"api-keys\":[\"n2ctnfzs989anu6wsjnb\"],\"priority\":1",
+        &ranked,
+    );
     text.replace('\n', "")
 }
 
@@ -37,7 +42,11 @@
     let acknowledged = site.store.put("config", "main", &next_version(rank));
     let mut calls = Vec::new();
     for number in 0..200 {
-        let path = if number % 2 == 0 { "/roster/today" } else { "/swap/confirm" };
+        let path = if number % 2 == 0 {
+            "/roster/today"
+        } else {
+            "/swap/confirm"
+        };
         let node = &site.nodes[number / 2 % site.nodes.len()];
         let (client, name, front) = (site.client(), node.name.clone(), node.front);
         calls.push(thread::spawn(move || {
@@ -53,13 +62,22 @@
         }));
         thread::sleep(Duration::from_millis(50));
     }
-    let calls: Vec<_> = calls.into_iter().filter_map(|call| call.join().ok()).collect();
+    let calls: Vec<_> = calls
+        .into_iter()
+        .filter_map(|call| call.join().ok())
+        .collect();
     let servers = site.servers_of(APP);
-    let ran: Vec<_> = servers.iter().flat_map(|server| server.arrivals()).map(|one| one.id).collect();
+    let ran: Vec<_> = servers
+        .iter()
+        .flat_map(|server| server.arrivals())
+        .map(|one| one.id)
+        .collect();
     let ready = site.nodes.iter().filter(|node| node.is_ready()).count();
     site.stop();
     let dropped = |path: &str| path.starts_with("/roster/");
-    let late = calls.iter().filter(|(_, sent, ..)| *sent > acknowledged + CONFIG);
+    let late = calls
+        .iter()
+        .filter(|(_, sent, ..)| *sent > acknowledged + CONFIG);
     let late: Vec<_> = late.collect();
     let stale = late
         .iter()
@@ -74,5 +92,9 @@
          machines are ready at the end",
         last.len()
     );
-    if stale > 0 { Err(format!("CONFIG: {text}")) } else { Ok(text) }
+    if stale > 0 {
+        Err(format!("CONFIG: {text}"))
+    } else {
+        Ok(text)
+    }
 }
--- a/review/harness/cases/limit.rs
+++ b/review/harness/cases/limit.rs
@@ -26,23 +26,34 @@
 const HUGE: u64 = 1_000_000_000_000_000;
 
 fn work(server: &Server, request: &Request, stream: &mut TcpStream) -> bool {
-    server.on_arrival(request, true);
+    server.on_arrival(request);
     thread::sleep(Duration::from_millis(60));
-    server.answer(request, stream, 200, "Server-Load: 1,0,6\r\nServer-Limit: 4\r\n", "done")
+    server.answer(
+        request,
+        stream,
+        200,
+        "Server-Load: 1,0,6\r\nServer-Limit: 4\r\n",
+        "done",
+    )
 }
 
 pub fn run(trouble: bool, record: &Arc<Record>) -> Result<String, String> {
     let mut site = Site::start((4, work), (2, work), &[0.17, 0.17, 0.17], record);
     site.settle();
     let client = site.client();
-    let nodes = site.nodes.iter().map(|node| (node.name.clone(), node.front));
+    let nodes = site
+        .nodes
+        .iter()
+        .map(|node| (node.name.clone(), node.front));
     let nodes: Vec<_> = nodes.collect();
     if trouble {
         for (name, front) in &nodes {
             let ask = Ask {
                 path: "/rebuild/quarter",
                 patience: Duration::from_secs(15),
-                lines: format!("Model: m\r\nToken-Counts: {HUGE},400\r\nPrompt-Prefix: a1:40,b1:{HUGE}\r\n"),
+                lines: format!(
+                    "Model: m\r\nToken-Counts: {HUGE},400\r\nPrompt-Prefix: a1:40,b1:{HUGE}\r\n"
+                ),
                 body: 1000,
             };
             client.send((name, *front), "huge", &ask);
@@ -77,9 +88,17 @@
     for call in calls {
         let _ended = call.join();
     }
-    let exited = site.nodes.iter_mut().filter_map(|node| node.has_ended().then_some(1)).count();
+    let exited = site
+        .nodes
+        .iter_mut()
+        .filter_map(|node| node.has_ended().then_some(1))
+        .count();
     let allowed = 1.5 * LIMIT * WINDOW.as_secs_f64() + 5.0;
-    let most = site.servers_of(APP).iter().map(|server| busiest(server)).max();
+    let most = site
+        .servers_of(APP)
+        .iter()
+        .map(|server| busiest(server))
+        .max();
     let most = most.unwrap_or(0);
     site.stop();
     let text = format!(
@@ -103,7 +122,9 @@
     let from = *first + STABLE + Duration::from_secs(1);
     let late: Vec<_> = times.iter().filter(|at| **at >= from).collect();
     let within = |begin: &Instant| {
-        let inside = late.iter().filter(|at| ***at >= *begin && ***at < *begin + WINDOW);
+        let inside = late
+            .iter()
+            .filter(|at| ***at >= *begin && ***at < *begin + WINDOW);
         inside.count()
     };
     late.iter().map(|begin| within(begin)).max().unwrap_or(0)
--- a/review/harness/cases/memory.rs
+++ b/review/harness/cases/memory.rs
@@ -23,13 +23,18 @@
 const KEPT: usize = 10;
 
 fn work(server: &Server, request: &Request, stream: &mut TcpStream) -> bool {
-    server.on_arrival(request, true);
+    server.on_arrival(request);
     thread::sleep(Duration::from_millis(300));
     server.answer(request, stream, 200, "Server-Load: 1,0,6\r\n", "done")
 }
 
 /// Sends swaps on one channel until `ended`, and returns the ids of those that got no answer on it.
-fn keep(client: &Client, node: std::net::SocketAddr, record: &Record, ended: &AtomicBool) -> Vec<String> {
+fn keep(
+    client: &Client,
+    node: std::net::SocketAddr,
+    record: &Record,
+    ended: &AtomicBool,
+) -> Vec<String> {
     let ask = Ask {
         path: "/swap/confirm",
         patience: Duration::from_secs(3),
@@ -45,9 +50,15 @@
         let mut count = 0;
         while !ended.load(Ordering::SeqCst) {
             let (id, bytes) = client.request("swap", &ask);
-            record.note(&format!("client: {id} is sent on a channel after {count} others"));
+            record.note(&format!(
+                "client: {id} is sent on a channel after {count} others"
+            ));
             let answer = http::exchange(&mut stream, &bytes, ask.patience);
-            record.note(&format!("client: {id} gets {} after {} ms", answer.status, answer.took.as_millis()));
+            record.note(&format!(
+                "client: {id} gets {} after {} ms",
+                answer.status,
+                answer.took.as_millis()
+            ));
             if answer.status == 0 {
                 if answer.took < ask.patience {
                     lost.push(id);
@@ -55,7 +66,10 @@
                 break;
             }
             count += 1;
-            if answer.header("connection").is_some_and(|value| value.contains("close")) {
+            if answer
+                .header("connection")
+                .is_some_and(|value| value.contains("close"))
+            {
                 break;
             }
         }
@@ -71,8 +85,12 @@
     let lost = Arc::new(Mutex::new(Vec::new()));
     let mut threads = Vec::new();
     for _ in 0..KEPT {
-        let (client, record, ended, lost) =
-            (site.client(), Arc::clone(record), Arc::clone(&ended), Arc::clone(&lost));
+        let (client, record, ended, lost) = (
+            site.client(),
+            Arc::clone(record),
+            Arc::clone(&ended),
+            Arc::clone(&lost),
+        );
         threads.push(thread::spawn(move || {
             let ids = keep(&client, front, &record, &ended);
             lost.lock().unwrap().extend(ids);
@@ -126,5 +144,9 @@
          requests it had passed on",
         most / 1_000_000
     );
-    if lost > 3 { Err(format!("LOST: {text}")) } else { Ok(text) }
+    if lost > 3 {
+        Err(format!("LOST: {text}"))
+    } else {
+        Ok(text)
+    }
 }
--- a/review/harness/cases/poison.rs
+++ b/review/harness/cases/poison.rs
@@ -19,8 +19,11 @@
 /// The sound parts before the deadly one.
 const DOCUMENTS: usize = 33;
 
+/// The deadly requests of one burst, which fill a few servers.
+const BURST: usize = 30;
+
 fn engine(server: &Server, request: &Request, stream: &mut TcpStream) -> bool {
-    server.on_arrival(request, true);
+    server.on_arrival(request);
     thread::sleep(Duration::from_millis(40));
     let prefix = request.header("prompt-prefix").unwrap_or_default();
     if prefix.contains("dead:") {
@@ -33,7 +36,7 @@
 }
 
 fn app(server: &Server, request: &Request, stream: &mut TcpStream) -> bool {
-    server.on_arrival(request, true);
+    server.on_arrival(request);
     server.answer(request, stream, 200, "Server-Load: 1,0,6\r\n", "done")
 }
 
@@ -48,7 +51,10 @@
 
 impl Sender {
     fn new(site: &Site) -> Self {
-        let nodes = site.nodes.iter().map(|node| (node.name.clone(), node.front));
+        let nodes = site
+            .nodes
+            .iter()
+            .map(|node| (node.name.clone(), node.front));
         Self {
             client: site.client(),
             nodes: nodes.collect(),
@@ -101,7 +107,10 @@
         before.push(sender.send("sound", &sound(number)));
         pause(100);
     }
-    let before: Vec<_> = before.into_iter().filter_map(|call| call.join().ok()).collect();
+    let before: Vec<_> = before
+        .into_iter()
+        .filter_map(|call| call.join().ok())
+        .collect();
     for node in &mut site.nodes {
         if !node.restart_by_term(Duration::from_secs(9)) {
             crate::cannot_run("a machine did not stop in time");
@@ -127,7 +136,10 @@
         }
         pause(120);
     }
-    let after: Vec<_> = after.into_iter().filter_map(|call| call.join().ok()).collect();
+    let after: Vec<_> = after
+        .into_iter()
+        .filter_map(|call| call.join().ok())
+        .collect();
     for call in deadly {
         let _ended = call.join();
     }
@@ -168,8 +180,26 @@
 pub fn run_deep(trouble: bool, record: &Arc<Record>) -> Result<String, String> {
     let site = Site::start((8, engine), (1, app), &[0.17, 0.17, 0.17], record);
     site.settle();
+    send_deadly(site, DOCUMENTS, trouble)
+}
+
+/// Most machines have been removed for good before deadly prompts come.
+pub fn run_quorum(trouble: bool, record: &Arc<Record>) -> Result<String, String> {
+    let mut site = Site::start((8, engine), (1, app), &[0.17; 7], record);
+    site.settle();
+    if trouble {
+        site.nodes.drain(..4);
+    }
+    thread::sleep(STABLE * 2);
+    send_deadly(site, 2, true)
+}
+
+/// Sends deadly prompts beside sound ones, with so many sound parts before the deadly one.
+fn send_deadly(site: Site, documents: usize, trouble: bool) -> Result<String, String> {
     let mut sender = Sender::new(&site);
-    let documents: Vec<_> = (1..=DOCUMENTS).map(|number| format!("d{number:02}:30")).collect();
+    let documents: Vec<_> = (1..=documents)
+        .map(|number| format!("d{number:02}:30"))
+        .collect();
     let documents = documents.join(",");
     let mut calls = Vec::new();
     for tick in 0..200 {
@@ -179,12 +209,21 @@
         calls.push(sender.send("sound", &format!("{documents},b{}:200", tick % 5)));
         pause(120);
     }
+    judge_deadly(site, calls)
+}
+
+/// Counts the deadly requests that reached servers too late.
+fn judge_deadly(site: Site, calls: Vec<Call>) -> Result<String, String> {
     let mut cut = 0;
     for call in calls {
         cut += usize::from(call.join().is_ok_and(|(_, answer)| !answer.is_success()));
     }
     let crashes = crashes(&site);
-    let arrivals: Vec<_> = site.servers_of(LLM).iter().flat_map(|one| one.arrivals()).collect();
+    let arrivals: Vec<_> = site
+        .servers_of(LLM)
+        .iter()
+        .flat_map(|one| one.arrivals())
+        .collect();
     site.stop();
     let Some(fifth) = crashes.get(4) else {
         return Ok(format!("{} crashes", crashes.len()));
@@ -199,5 +238,27 @@
          {cut} requests of both kinds had no whole answer",
         crashes.len()
     );
-    if late > 3 { Err(format!("BUDGET: {text}")) } else { Ok(text) }
+    if late > 3 {
+        Err(format!("BUDGET: {text}"))
+    } else {
+        Ok(text)
+    }
+}
+
+/// The deadly prompts come in bursts, as a caller sends several at once.
+pub fn run_bursts(trouble: bool, record: &Arc<Record>) -> Result<String, String> {
+    let site = Site::start((8, engine), (1, app), &[0.17, 0.17, 0.17], record);
+    site.settle();
+    let mut sender = Sender::new(&site);
+    let mut calls = Vec::new();
+    for tick in 0..200 {
+        if trouble && tick % 40 == 20 {
+            for _ in 0..BURST {
+                calls.push(sender.send("deadly", "c7:1000,dead:200"));
+            }
+        }
+        calls.push(sender.send("sound", &format!("c7:1000,b{}:200", tick % 5)));
+        pause(120);
+    }
+    judge_deadly(site, calls)
 }
--- a/review/harness/cases/recover.rs
+++ b/review/harness/cases/recover.rs
@@ -9,7 +9,7 @@
 use crate::http::Request;
 use crate::record::Record;
 use crate::server::Server;
-use crate::site::{Ask, Client, LLM, Site};
+use crate::site::{APP, Ask, Client, LLM, Site};
 
 /// An entry of another writer: one of its fields holds half of a character, which no text can.
 const UNREADABLE: &str = r#"{"service":"\ud83d","address":7,"state":"?"}"#;
@@ -24,7 +24,7 @@
 const TRAFFIC: Duration = Duration::from_secs(6);
 
 fn work(server: &Server, request: &Request, stream: &mut TcpStream) -> bool {
-    server.on_arrival(request, true);
+    server.on_arrival(request);
     thread::sleep(Duration::from_millis(60));
     if server.service == LLM {
         return server.begin_stream(request, stream)
@@ -69,14 +69,20 @@
         }));
         thread::sleep(Duration::from_millis(70));
     }
-    calls.into_iter().filter_map(|call| call.join().ok()).collect()
+    calls
+        .into_iter()
+        .filter_map(|call| call.join().ok())
+        .collect()
 }
 
 pub fn run(trouble: bool, record: &Arc<Record>) -> Result<String, String> {
     let mut site = Site::start((3, work), (2, work), &[0.17, 0.17, 0.17], record);
     site.settle();
     let ended = Arc::new(AtomicBool::new(false));
-    let nodes = site.nodes.iter().map(|node| (node.name.clone(), node.front));
+    let nodes = site
+        .nodes
+        .iter()
+        .map(|node| (node.name.clone(), node.front));
     let (client, nodes, flag) = (site.client(), nodes.collect(), Arc::clone(&ended));
     let calls = thread::spawn(move || traffic(client, nodes, flag));
     thread::sleep(TRAFFIC);
@@ -103,7 +109,10 @@
         (served, calls.len())
     };
     let before: Vec<_> = calls.iter().filter(|(sent, _)| *sent < struck).collect();
-    let after: Vec<_> = calls.iter().filter(|(sent, _)| *sent >= back + RECOVER).collect();
+    let after: Vec<_> = calls
+        .iter()
+        .filter(|(sent, _)| *sent >= back + RECOVER)
+        .collect();
     let ((served_before, sent_before), (served, sent)) = (share(&before), share(&after));
     if sent == 0 || served_before * 4 < sent_before {
         crate::cannot_run("too little was served before the final fault");
@@ -118,3 +127,37 @@
         Ok(text)
     }
 }
+
+/// `drain-ms`.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// Another writer leaves the same entry, and later a server leaves in a quiet hour.
+pub fn run_drain(trouble: bool, record: &Arc<Record>) -> Result<String, String> {
+    let site = Site::start((1, work), (2, work), &[0.17, 0.17, 0.17], record);
+    site.settle();
+    if trouble {
+        site.store.put("servers", "x-from-elsewhere", UNREADABLE);
+    }
+    thread::sleep(Duration::from_secs(4));
+    let leaving = site.servers_of(APP).remove(0);
+    let acknowledged = leaving.drain(&site.store);
+    thread::sleep(DRAIN + Duration::from_secs(1));
+    let client = site.client();
+    for number in 0..12 {
+        let node = &site.nodes[number % site.nodes.len()];
+        client.send((&node.name, node.front), "ask", &asks()[1]);
+    }
+    let arrivals = leaving.arrivals();
+    let late = arrivals
+        .iter()
+        .filter(|arrival| arrival.at > acknowledged + DRAIN);
+    let late = late.count();
+    site.stop();
+    let text =
+        format!("{late} requests reached a server later than drain-ms after it was draining");
+    if late > 0 {
+        Err(format!("DRAIN: {text}"))
+    } else {
+        Ok(text)
+    }
+}
--- a/review/harness/cases/route.rs
+++ b/review/harness/cases/route.rs
@@ -21,7 +21,7 @@
 
 /// Reads a prompt of 200,000 tokens with one helper, and answers with four events.
 fn engine(server: &Server, request: &Request, stream: &mut TcpStream) -> bool {
-    server.on_arrival(request, true);
+    server.on_arrival(request);
     let reading = server.reading.lock().unwrap();
     thread::sleep(Duration::from_millis(1300));
     drop(reading);
@@ -33,7 +33,7 @@
 }
 
 fn app(server: &Server, request: &Request, stream: &mut TcpStream) -> bool {
-    server.on_arrival(request, true);
+    server.on_arrival(request);
     thread::sleep(Duration::from_millis(60));
     server.answer(request, stream, 200, "Server-Load: 1,0,6\r\n", "done")
 }
@@ -94,12 +94,19 @@
         .filter(|arrival| arrival.request.target.starts_with("/swap/"))
         .map(|arrival| arrival.id)
         .collect();
-    let served: usize = site.servers_of(APP).iter().map(|one| one.arrivals().len()).sum();
+    let served: usize = site
+        .servers_of(APP)
+        .iter()
+        .map(|one| one.arrivals().len())
+        .sum();
     site.stop();
     if strays.is_empty() {
         Ok(format!("{served} swaps ran at {APP}, none at {LLM}"))
     } else {
-        Err(format!("ROUTE: {} swaps of {APP} were run by {LLM}: {strays:?}", strays.len()))
+        Err(format!(
+            "ROUTE: {} swaps of {APP} were run by {LLM}: {strays:?}",
+            strays.len()
+        ))
     }
 }
 
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -82,7 +82,6 @@
     pub body: Vec<u8>,
     /// Whether the answer came to its end.
     pub whole: bool,
-    pub sent: Instant,
     pub took: Duration,
 }
 
@@ -98,7 +97,9 @@
 
     /// The time that the answer asks the client to wait.
     pub fn retry_after(&self) -> Duration {
-        let secs = self.header("retry-after").and_then(|text| text.parse().ok());
+        let secs = self
+            .header("retry-after")
+            .and_then(|text| text.parse().ok());
         Duration::from_secs_f64(secs.unwrap_or(0.2))
     }
 }
@@ -115,7 +116,6 @@
         headers: Vec::new(),
         body: Vec::new(),
         whole: false,
-        sent,
         took: sent.elapsed(),
     }
 }
@@ -128,7 +128,6 @@
         headers: Vec::new(),
         body: Vec::new(),
         whole: false,
-        sent,
         took: Duration::ZERO,
     };
     if stream.write_all(request).is_ok() {
--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -2,8 +2,8 @@
 
 use std::fs::File;
 use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
 use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -162,7 +162,8 @@
         let Some(child) = self.child.as_mut() else {
             return false;
         };
-        self.record.note(&format!("node {} gets SIGTERM", self.name));
+        self.record
+            .note(&format!("node {} gets SIGTERM", self.name));
         unsafe {
             kill(child.id() as i32, SIGTERM);
         }
--- a/review/harness/record.rs
+++ b/review/harness/record.rs
@@ -20,7 +20,10 @@
 
     pub fn note(&self, line: &str) {
         let secs = self.start.elapsed().as_secs_f64();
-        self.lines.lock().unwrap().push(format!("{secs:8.3} {line}"));
+        self.lines
+            .lock()
+            .unwrap()
+            .push(format!("{secs:8.3} {line}"));
     }
 
     /// Writes the lines to a file.
--- a/review/harness/server.rs
+++ b/review/harness/server.rs
@@ -22,8 +22,6 @@
     pub id: String,
     /// The headers and the path as they came.
     pub request: Request,
-    /// Whether it ran, rather than being rejected.
-    pub ran: bool,
 }
 
 /// One server of a service.
@@ -34,8 +32,6 @@
     pub address: SocketAddr,
     /// Whether it says in all its answers that it leaves.
     pub leaving: AtomicBool,
-    /// Whether it turns requests away.
-    pub in_need: AtomicBool,
     boot: AtomicU64,
     number: usize,
     work: Work,
@@ -70,7 +66,6 @@
             zone: zone.to_owned(),
             address: listener.local_addr().expect("a bound address"),
             leaving: AtomicBool::new(false),
-            in_need: AtomicBool::new(false),
             boot: AtomicU64::new(unix_millis()),
             number,
             work,
@@ -110,6 +105,12 @@
         store.put("servers", &self.id(), &self.entry("ready"));
     }
 
+    /// Says in the store and in all answers that the server leaves; returns when the store has it.
+    pub fn drain(&self, store: &Store) -> Instant {
+        self.leaving.store(true, Ordering::SeqCst);
+        store.put("servers", &self.id(), &self.entry("draining"))
+    }
+
     fn run(self: Arc<Self>, listener: TcpListener, store: &Arc<Store>) {
         let mut listener = Some(listener);
         loop {
@@ -218,22 +219,20 @@
         self.answer(request, stream, 200, "", "{\"free\":400000}")
     }
 
-    /// Records that a request reached the server, and whether it runs.
-    pub fn on_arrival(&self, request: &Request, ran: bool) {
+    /// Records that a request reached the server and runs.
+    pub fn on_arrival(&self, request: &Request) {
         let id = request.header("request-id").unwrap_or_default().to_owned();
         self.record.note(&format!(
-            "server {} ({}): {} {} {id} {}",
+            "server {} ({}): {} {} {id} runs",
             self.id(),
             self.service,
             request.method,
-            request.target,
-            if ran { "runs" } else { "is turned away" }
+            request.target
         ));
         self.arrivals.lock().unwrap().push(Arrival {
             at: Instant::now(),
             id,
             request: request.clone(),
-            ran,
         });
     }
 
@@ -258,7 +257,9 @@
             self.id(),
             body.len()
         );
-        stream.write_all(&[head.as_bytes(), body.as_bytes()].concat()).is_ok()
+        stream
+            .write_all(&[head.as_bytes(), body.as_bytes()].concat())
+            .is_ok()
     }
 
     /// Sends the head of a stream, which is sent in chunks.
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -48,7 +48,6 @@
 /// The deployment.
 #[derive(Debug)]
 pub struct Site {
-    pub record: Arc<Record>,
     pub store: Arc<Store>,
     pub servers: Vec<Arc<Server>>,
     pub nodes: Vec<Node>,
@@ -71,8 +70,14 @@
 
 impl Site {
     /// Starts the store, servers of both services, and a machine for each share of a core.
-    pub fn start(llm: (usize, Work), app: (usize, Work), shares: &[f64], record: &Arc<Record>) -> Self {
-        let folder = std::env::temp_dir().join(format!("catkinusher-review-{}", std::process::id()));
+    pub fn start(
+        llm: (usize, Work),
+        app: (usize, Work),
+        shares: &[f64],
+        record: &Arc<Record>,
+    ) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("catkinusher-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let store = Store::start(ip(1), record);
         store.put("config", "main", &MANIFEST.replace('\n', ""));
@@ -81,7 +86,14 @@
             for index in 0..count {
                 let number = servers.len();
                 let place = (service, ZONES[index % ZONES.len()], slots);
-                servers.push(Server::start(ip(100 + number), number, place, work, &store, record));
+                servers.push(Server::start(
+                    ip(100 + number),
+                    number,
+                    place,
+                    work,
+                    &store,
+                    record,
+                ));
             }
         }
         let ips: Vec<_> = (0..shares.len()).map(|index| ip(10 + index)).collect();
@@ -89,7 +101,14 @@
         let nodes = shares.iter().enumerate().map(|(index, share)| {
             let zone = ZONES[index % ZONES.len()];
             let name = format!("front-{zone}-{}", index + 1);
-            Node::start(&name, (ips[index], zone, *share), ports, store.address, &folder, record)
+            Node::start(
+                &name,
+                (ips[index], zone, *share),
+                ports,
+                store.address,
+                &folder,
+                record,
+            )
         });
         let nodes = nodes.collect();
         let clients = Client {
@@ -97,7 +116,6 @@
             next: Arc::default(),
         };
         Self {
-            record: Arc::clone(record),
             store,
             servers,
             nodes,
@@ -146,7 +164,11 @@
         let (method, length, body) = if ask.is_get() {
             ("GET", String::new(), 0)
         } else {
-            ("POST", format!("Content-Length: {}\r\n", ask.body), ask.body)
+            (
+                "POST",
+                format!("Content-Length: {}\r\n", ask.body),
+                ask.body,
+            )
         };
         let head = format!(
             "{method} {} HTTP/1.1\r\nHost: rota.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\
@@ -161,11 +183,18 @@
     }
 
     /// Sends a request to a machine, under an id that begins with `label`.
-    pub fn send(&self, node: (&str, std::net::SocketAddr), label: &str, ask: &Ask) -> (String, Answer) {
+    pub fn send(
+        &self,
+        node: (&str, std::net::SocketAddr),
+        label: &str,
+        ask: &Ask,
+    ) -> (String, Answer) {
         let (id, bytes) = self.request(label, ask);
         let method = if ask.is_get() { "GET" } else { "POST" };
-        self.record
-            .note(&format!("client: {id} {method} {} is sent to {}", ask.path, node.0));
+        self.record.note(&format!(
+            "client: {id} {method} {} is sent to {}",
+            ask.path, node.0
+        ));
         let answer = http::call(node.1, &bytes, ask.patience);
         self.record.note(&format!(
             "client: {id} gets {} after {} ms ({}): {}",
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -77,8 +77,7 @@
         let mut content = self.content.lock().unwrap();
         self.apply_put(&mut content, kind, name, spec);
         drop(content);
-        self.record
-            .note(&format!("store: {kind}/{name} is {spec}"));
+        self.record.note(&format!("store: {kind}/{name} is {spec}"));
         Instant::now()
     }
 
@@ -87,17 +86,11 @@
         let mut content = self.content.lock().unwrap();
         self.apply_remove(&mut content, kind, name);
         drop(content);
-        self.record.note(&format!("store: {kind}/{name} is removed"));
+        self.record
+            .note(&format!("store: {kind}/{name} is removed"));
         Instant::now()
     }
 
-    /// The names of the objects of a kind.
-    pub fn names(&self, kind: &str) -> Vec<String> {
-        let content = self.content.lock().unwrap();
-        let keys = content.objects.keys().filter(|(one, _)| one == kind);
-        keys.map(|(_, name)| name.clone()).collect()
-    }
-
     fn apply_put(&self, content: &mut Content, kind: &str, name: &str, spec: &str) {
         let key = (kind.to_owned(), name.to_owned());
         let before = content.objects.get(&key);
