--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::freshness::Freshness;
+use crate::id::{Incarnation, Serial};
 use crate::object::Version;
 use crate::roster::{Duty, Roster};
 use crate::time::Time;
@@ -67,8 +68,8 @@
 /// The reply to a confirmation query.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfirmReply {
-    /// The number of the query that it answers.
-    pub number: u64,
+    /// The serial of the query that it answers.
+    pub serial: Serial,
     /// How long ago the configuration was confirmed, in milliseconds, rounded up, or `None` if never.
     pub age: Option<u64>,
     /// Whether the replying node cannot read the store at present.
@@ -100,8 +101,8 @@
     Read,
     /// Read it as it was at most seconds ago, since a peer has this revision.
     Fetch(u64),
-    /// Send a query to a peer, with a number that its reply repeats.
-    Ask(SocketAddr, u64),
+    /// Send a query to a peer, with a serial that its reply repeats.
+    Ask(SocketAddr, Serial),
 }
 
 /// The effect of a reply.
@@ -137,6 +138,7 @@
 /// All times must come from a clock that advances while the machine is suspended.
 #[derive(Debug, Clone)]
 pub struct Confirmer {
+    process: Incarnation,
     interval: Duration,
     freshness: Freshness,
     reading: bool,
@@ -164,10 +166,11 @@
 }
 
 impl Confirmer {
-    /// Creates the state of a node that aims for a confirmation no older than `interval`.
+    /// Creates the state of a process that aims for a confirmation no older than `interval`.
     #[must_use]
-    pub fn new(interval: Duration) -> Self {
+    pub fn new(process: Incarnation, interval: Duration) -> Self {
         Self {
+            process,
             interval,
             freshness: Freshness::default(),
             reading: false,
@@ -229,10 +232,10 @@
                     peer,
                     sent_at: now,
                 });
-                actions.push(Action::Ask(peer, number));
+                actions.push(Action::Ask(peer, Serial::new(self.process, number)));
             }
             if let Some(peer) = roster.take_probe(&duty(), now) {
-                actions.push(Action::Ask(peer, PROBE));
+                actions.push(Action::Ask(peer, Serial::new(self.process, PROBE)));
             }
         }
         let started_at = *self.started_at.get_or_insert(now);
@@ -407,10 +410,10 @@
     ///
     /// A node without a confirmation replies, too, so that it does not count as silent.
     #[must_use]
-    pub fn reply(&self, number: u64, known: StorePosition, now: Time) -> ConfirmReply {
+    pub fn reply(&self, serial: Serial, known: StorePosition, now: Time) -> ConfirmReply {
         let age = self.freshness.age(now);
         ConfirmReply {
-            number,
+            serial,
             age: age.map(|age| age.as_millis() as u64 + 1),
             failing: self.failures > 0 || age.is_none(),
             known,
@@ -427,10 +430,11 @@
 
     /// Handles a reply, at a node whose configuration has `revision`.
     pub fn on_reply(&mut self, reply: &ConfirmReply, revision: u64, now: Time) -> ReplyOutcome {
+        let number = reply.serial.number_of(self.process);
         let open = self
             .open_queries
             .iter()
-            .position(|query| query.number == reply.number);
+            .position(|query| Some(query.number) == number);
         let Some(OpenQuery { sent_at, peer, .. }) =
             open.map(|index| self.open_queries.swap_remove(index))
         else {
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -353,13 +353,13 @@
             .map(|(id, _)| id)
     }
 
-    /// Whether an upstream may get requests of this node: it is listed, neither leaving nor resting,
-    /// and its data centre is not drained.
+    /// Whether an upstream may get requests of this node to a service: it is listed for that
+    /// service, neither leaving nor resting, and its data centre is not drained.
     #[must_use]
-    pub fn accepts_requests(&self, id: &UpstreamId, now: Time) -> bool {
-        self.entries
-            .get(id)
-            .is_some_and(|entry| self.is_open(entry) && now >= entry.rests_until)
+    pub fn accepts_requests(&self, id: &UpstreamId, service: &ServiceId, now: Time) -> bool {
+        self.entries.get(id).is_some_and(|entry| {
+            entry.upstream.service == *service && self.is_open(entry) && now >= entry.rests_until
+        })
     }
 
     /// The time until the first upstream of a service takes requests of this node again, if all rest.
--- a/crates/catkinusher-core/src/id/mod.rs
+++ b/crates/catkinusher-core/src/id/mod.rs
@@ -143,7 +143,9 @@
     ChangeId
 }
 
-/// The incarnation number of a process; each restart takes a higher one.
+/// The incarnation number of a process; each restart takes another one.
+///
+/// It is a higher one where the number is stored, and a random one where nothing outlives the process.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -183,3 +185,48 @@
         text.trim_start_matches('#').parse().map(Self)
     }
 }
+
+/// A number that a process gave out, with the incarnation of that process.
+///
+/// Each process counts from 1, so a number alone also fits a message of an earlier process of
+/// the same node. What leaves a process to come back in a reply or a report is therefore a serial
+/// (see [docs/design/large.md](../../../../docs/design/large.md)).
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(into = "SerialRow", from = "SerialRow")]
+pub struct Serial {
+    /// The process that gave it out.
+    pub process: Incarnation,
+    /// The number, unique in that process.
+    pub number: u64,
+}
+
+/// The fields of a [`Serial`] in order.
+type SerialRow = (Incarnation, u64);
+
+impl Serial {
+    /// Creates the serial of a number that `process` gives out.
+    #[must_use]
+    pub const fn new(process: Incarnation, number: u64) -> Self {
+        Self { process, number }
+    }
+
+    /// The number, if `process` gave it out.
+    #[must_use]
+    pub fn number_of(self, process: Incarnation) -> Option<u64> {
+        (self.process == process).then_some(self.number)
+    }
+}
+
+impl From<Serial> for SerialRow {
+    fn from(serial: Serial) -> Self {
+        (serial.process, serial.number)
+    }
+}
+
+impl From<SerialRow> for Serial {
+    fn from((process, number): SerialRow) -> Self {
+        Self { process, number }
+    }
+}
--- a/crates/catkinusher-core/src/lib.rs
+++ b/crates/catkinusher-core/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod placement;
 pub mod placer;
 pub mod poison;
+pub mod process;
 pub mod progress;
 pub mod ramp;
 pub mod rendezvous;
--- a/crates/catkinusher-core/src/placer/message.rs
+++ b/crates/catkinusher-core/src/placer/message.rs
@@ -5,15 +5,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::{Cell, Cost, Load, Overload};
-use crate::id::{DataCentreId, ServiceId};
+use crate::id::{DataCentreId, Serial, ServiceId};
 use crate::units::Tokens;
 
 /// A request to be placed, as its node describes it. Durations are in milliseconds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(into = "AskRow", from = "AskRow")]
 pub struct Ask {
-    /// The number of the ask at its node; repeats of an ask have the same.
-    pub number: u64,
+    /// The serial of the ask at its node; repeats of an ask have the same.
+    pub serial: Serial,
     /// The cell whose upstreams may be chosen.
     pub cell: Cell,
     /// Whether another cell has passed it on already.
@@ -38,7 +38,7 @@
 
 /// The fields of an [`Ask`] in order, without names, as asks are sent often.
 type AskRow = (
-    u64,
+    Serial,
     ServiceId,
     Option<DataCentreId>,
     bool,
@@ -50,7 +50,7 @@
 impl From<Ask> for AskRow {
     fn from(ask: Ask) -> Self {
         (
-            ask.number,
+            ask.serial,
             ask.cell.service,
             ask.cell.data_centre,
             ask.forwarded,
@@ -64,7 +64,7 @@
 impl From<AskRow> for Ask {
     fn from(
         (
-            number,
+            serial,
             service,
             data_centre,
             forwarded,
@@ -74,7 +74,7 @@
         ): AskRow,
     ) -> Self {
         Self {
-            number,
+            serial,
             cell: Cell {
                 service,
                 data_centre,
@@ -131,9 +131,9 @@
 /// The upstreams on which a request was placed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Granted {
-    /// The number of the grant, which the node's next report covers.
+    /// The serial of the grant, which the node's next report covers.
     #[serde(rename = "g")]
-    pub grant: u64,
+    pub grant: Serial,
     /// The upstream that answers.
     #[serde(rename = "p")]
     pub primary: Part,
@@ -175,22 +175,22 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(into = "AnswerRow", from = "AnswerRow")]
 pub struct Answer {
-    /// The number of the ask.
-    pub number: u64,
+    /// The serial of the ask.
+    pub serial: Serial,
     /// The decision.
     pub verdict: Verdict,
 }
 
-type AnswerRow = (u64, Verdict);
+type AnswerRow = (Serial, Verdict);
 
 impl From<Answer> for AnswerRow {
     fn from(answer: Answer) -> Self {
-        (answer.number, answer.verdict)
+        (answer.serial, answer.verdict)
     }
 }
 
 impl From<AnswerRow> for Answer {
-    fn from((number, verdict): AnswerRow) -> Self {
-        Self { number, verdict }
+    fn from((serial, verdict): AnswerRow) -> Self {
+        Self { serial, verdict }
     }
 }
--- a/crates/catkinusher-core/src/placer/mod.rs
+++ b/crates/catkinusher-core/src/placer/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::directory::Directory;
 use crate::fleet::{Authority, Cell, Demand, Fleet, Overload, Placement, Policy, Pressure};
-use crate::id::UpstreamId;
+use crate::id::{Incarnation, Serial, UpstreamId};
 use crate::time::Time;
 
 /// How long an ask stays in the queue after it was last repeated.
@@ -87,14 +87,26 @@
 }
 
 /// The queue of a node that places requests, and what it knows of other cells.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Placer {
-    waiting: BTreeMap<(Asker, u64), Waiting>,
+    process: Incarnation,
+    waiting: BTreeMap<(Asker, Serial), Waiting>,
     pressures: BTreeMap<Cell, (Pressure, Time)>,
     own_pressures: BTreeMap<Cell, (Pressure, Time)>,
 }
 
 impl Placer {
+    /// Creates the empty queue of a process.
+    #[must_use]
+    pub const fn new(process: Incarnation) -> Self {
+        Self {
+            process,
+            waiting: BTreeMap::new(),
+            pressures: BTreeMap::new(),
+            own_pressures: BTreeMap::new(),
+        }
+    }
+
     /// Decides on an ask, or on the repetition of one.
     pub fn on_ask<R>(
         &mut self,
@@ -107,15 +119,15 @@
         R: Rng,
     {
         let now = context.now;
-        let key = (asker, ask.number);
+        let key = (asker, ask.serial);
         if let Some(waiting) = self.waiting.get_mut(&key) {
             waiting.on_repeated(&ask, now);
-            return answer(ask.number, Verdict::Waiting);
+            return answer(ask.serial, Verdict::Waiting);
         }
         if let Some(cell) = self.better_cell(&ask, context) {
             return forward(ask, cell);
         }
-        let verdict = decide(asker, &ask, Duration::ZERO, context, rng);
+        let verdict = self.decide(asker, &ask, Duration::ZERO, context, rng);
         let is_full = matches!(
             verdict,
             Verdict::Overloaded(Overload::Full(_) | Overload::None)
@@ -123,7 +135,7 @@
         if is_full && let Some(cell) = self.least_pressed(&ask, context) {
             return forward(ask, cell);
         }
-        let number = ask.number;
+        let serial = ask.serial;
         if verdict == Verdict::Waiting {
             self.waiting.insert(
                 key,
@@ -134,7 +146,7 @@
                 },
             );
         }
-        answer(number, verdict)
+        answer(serial, verdict)
     }
 
     /// Tries the waiting asks again, the shortest prompts first, and returns the
@@ -157,19 +169,25 @@
             let Some(waiting) = self.waiting.get(&key) else {
                 continue;
             };
-            let (asker, number) = key;
-            let verdict = decide(asker, &waiting.ask, now.since(received_at), context, rng);
+            let (asker, serial) = key;
+            let verdict = self.decide(asker, &waiting.ask, now.since(received_at), context, rng);
             if verdict != Verdict::Waiting {
                 self.waiting.remove(&key);
-                answers.push((asker, Answer { number, verdict }));
+                answers.push((asker, Answer { serial, verdict }));
             }
         }
         answers
     }
 
     /// Drops an ask of this node whose caller has left.
-    pub fn cancel(&mut self, asker: Asker, number: u64) {
-        self.waiting.remove(&(asker, number));
+    pub fn cancel(&mut self, asker: Asker, serial: Serial) {
+        self.waiting.remove(&(asker, serial));
+    }
+
+    /// Drops the asks of a peer whose process has ended, as no request waits for them any more.
+    pub fn forget_peer(&mut self, peer: u64) {
+        self.waiting
+            .retain(|(asker, _), _| asker.peer != Some(peer));
     }
 
     /// Whether asks are waiting.
@@ -216,6 +234,56 @@
         pressure.has_room().then_some(cell)
     }
 
+    /// Decides on an ask that has been in the queue for the time `queued`.
+    fn decide<R>(
+        &self,
+        asker: Asker,
+        ask: &Ask,
+        queued: Duration,
+        context: &mut Context<'_>,
+        rng: &mut R,
+    ) -> Verdict
+    where
+        R: Rng,
+    {
+        let Some(service) = context.directory.service(&ask.cell.service) else {
+            return Verdict::Unable;
+        };
+        let millis = |value| Duration::from_millis(value);
+        let avoid = ask
+            .avoid
+            .iter()
+            .filter_map(|id| context.fleet.find_by_short_id(*id).cloned())
+            .collect();
+        let demand = Demand {
+            prompt: ask.prompt,
+            answer: ask.answer,
+            objective: millis(ask.objective),
+            age: millis(ask.age) + queued,
+            patience: millis(ask.patience),
+            waited: millis(ask.waited) + queued,
+            time_left: millis(ask.left).saturating_sub(queued),
+            avoid,
+            within: ask.cell.data_centre.clone(),
+            authority: Authority::Shared,
+        };
+        let placed = context
+            .fleet
+            .place(service, &demand, context.policy, context.now, rng);
+        match placed {
+            Ok(placement) => {
+                let number = asker
+                    .peer
+                    .map_or(0, |peer| context.fleet.grant(peer, &placement, context.now));
+                let grant = Serial::new(self.process, number);
+                let limited = context.fleet.named_limit(&placement.primary).is_some();
+                Verdict::Granted(granted(grant, &placement, limited))
+            }
+            Err(Overload::Queued(_)) => Verdict::Waiting,
+            Err(overload) => Verdict::Overloaded(overload),
+        }
+    }
+
     fn least(&self, ask: &Ask, is_long: bool, now: Time) -> Option<(Cell, Pressure)> {
         self.pressures
             .iter()
@@ -226,8 +294,8 @@
     }
 }
 
-const fn answer(number: u64, verdict: Verdict) -> Step {
-    Step::Answer(Answer { number, verdict })
+const fn answer(serial: Serial, verdict: Verdict) -> Step {
+    Step::Answer(Answer { serial, verdict })
 }
 
 fn forward(ask: Ask, cell: Cell) -> Step {
@@ -238,55 +306,7 @@
     })
 }
 
-/// Decides on an ask that has been in the queue for the time `queued`.
-fn decide<R>(
-    asker: Asker,
-    ask: &Ask,
-    queued: Duration,
-    context: &mut Context<'_>,
-    rng: &mut R,
-) -> Verdict
-where
-    R: Rng,
-{
-    let Some(service) = context.directory.service(&ask.cell.service) else {
-        return Verdict::Unable;
-    };
-    let millis = |value| Duration::from_millis(value);
-    let avoid = ask
-        .avoid
-        .iter()
-        .filter_map(|id| context.fleet.find_by_short_id(*id).cloned())
-        .collect();
-    let demand = Demand {
-        prompt: ask.prompt,
-        answer: ask.answer,
-        objective: millis(ask.objective),
-        age: millis(ask.age) + queued,
-        patience: millis(ask.patience),
-        waited: millis(ask.waited) + queued,
-        time_left: millis(ask.left).saturating_sub(queued),
-        avoid,
-        within: ask.cell.data_centre.clone(),
-        authority: Authority::Shared,
-    };
-    let placed = context
-        .fleet
-        .place(service, &demand, context.policy, context.now, rng);
-    match placed {
-        Ok(placement) => {
-            let grant = asker
-                .peer
-                .map_or(0, |peer| context.fleet.grant(peer, &placement, context.now));
-            let limited = context.fleet.named_limit(&placement.primary).is_some();
-            Verdict::Granted(granted(grant, &placement, limited))
-        }
-        Err(Overload::Queued(_)) => Verdict::Waiting,
-        Err(overload) => Verdict::Overloaded(overload),
-    }
-}
-
-fn granted(grant: u64, placement: &Placement, limited: bool) -> Granted {
+fn granted(grant: Serial, placement: &Placement, limited: bool) -> Granted {
     let part = |id: &UpstreamId, cost| Part {
         upstream: Fleet::short_id(id),
         cost,
--- a/crates/catkinusher-core/src/poison/detector.rs
+++ b/crates/catkinusher-core/src/poison/detector.rs
@@ -5,6 +5,7 @@
 use super::suspects::{Cleared, CrashReport, Findings, Inquiry, InquiryReply, Suspects};
 use super::{Policy, Quarantine, QuarantineEntry, Verdict};
 use crate::fingerprint::Fingerprint;
+use crate::id::Incarnation;
 use crate::time::Time;
 use crate::units::Span;
 
@@ -29,12 +30,13 @@
 }
 
 impl Detector {
-    /// Creates a detector that knows no content.
+    /// Creates the detector of a process, which knows no content.
     #[must_use]
-    pub fn new(policy: Policy) -> Self {
+    pub fn new(process: Incarnation, policy: Policy) -> Self {
         Self {
             policy,
             quarantine: Quarantine::new(policy),
+            suspects: Suspects::new(process),
             ..Self::default()
         }
     }
@@ -117,7 +119,7 @@
         let content = inquiry.content.iter().copied();
         let cleared = content.filter(|one| self.cleared.contains(*one, now));
         InquiryReply {
-            number: inquiry.number,
+            serial: inquiry.serial,
             cleared: cleared.collect(),
         }
     }
@@ -128,7 +130,7 @@
             self.suspects.remove(*one);
             self.heard.insert(*one, now);
         }
-        self.suspects.on_reply(reply.number, node);
+        self.suspects.on_reply(reply.serial, node);
     }
 
     /// Whether inquiries are due, so that [`poll`](Self::poll) has to be called.
--- a/crates/catkinusher-core/src/poison/suspects.rs
+++ b/crates/catkinusher-core/src/poison/suspects.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fingerprint::Fingerprint;
+use crate::id::{Incarnation, Serial};
 use crate::time::Time;
 
 /// The number of crashes from which the nodes are asked whether they know content to be sound.
@@ -118,8 +119,8 @@
 /// The question whether content is known to be sound.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Inquiry {
-    /// The number of the inquiry, which replies repeat.
-    pub number: u64,
+    /// The serial of the inquiry, which replies repeat.
+    pub serial: Serial,
     /// The suspected content.
     pub content: Vec<Fingerprint>,
 }
@@ -127,8 +128,8 @@
 /// A node's reply to an inquiry, which also tells that it knows nothing.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InquiryReply {
-    /// The number of the inquiry.
-    pub number: u64,
+    /// The serial of the inquiry.
+    pub serial: Serial,
     /// The content that the node itself saw answered.
     pub cleared: Vec<Fingerprint>,
 }
@@ -217,6 +218,7 @@
 /// The content of requests that broke off, as far as no node is known to have seen it answered.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Suspects {
+    process: Incarnation,
     entries: BTreeMap<Fingerprint, Suspect>,
     /// The number of the last crash; those close together have the same.
     crash: u32,
@@ -227,6 +229,13 @@
 }
 
 impl Suspects {
+    pub(super) fn new(process: Incarnation) -> Self {
+        Self {
+            process,
+            ..Self::default()
+        }
+    }
+
     fn number_crash(&mut self, now: Time) -> u32 {
         if self.crash == 0 || now.since(self.crashed_at) >= CRASH_SPACING {
             self.crash += 1;
@@ -309,7 +318,10 @@
     }
 
     /// Records that a node has replied to an inquiry.
-    pub(super) fn on_reply(&mut self, number: u64, node: SocketAddr) {
+    pub(super) fn on_reply(&mut self, serial: Serial, node: SocketAddr) {
+        let Some(number) = serial.number_of(self.process) else {
+            return;
+        };
         for suspect in self.entries.values_mut() {
             if suspect.was_asked(number) {
                 suspect.repliers.insert(node);
@@ -372,7 +384,8 @@
             return None;
         }
         self.inquiries = number;
-        Some(Inquiry { number, content })
+        let serial = Serial::new(self.process, number);
+        Some(Inquiry { serial, content })
     }
 }
 
--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -6,6 +6,7 @@
 use catkinusher_core::confirm::{
     Action, ConfirmReply, Confirmer, ReplyOutcome, StorePosition, WatchProgress,
 };
+use catkinusher_core::id::{Incarnation, Serial};
 use catkinusher_core::object::Version;
 use catkinusher_core::roster::{Member, Roster};
 use catkinusher_core::time::Time;
@@ -17,7 +18,7 @@
 
 /// A message in transit.
 enum Message {
-    Query(usize, usize, u64),
+    Query(usize, usize, Serial),
     Reply(usize, usize, ConfirmReply),
     /// A fetch that saw this revision, or failed.
     Fetched(usize, Option<u64>),
@@ -83,7 +84,9 @@
 impl Simulation {
     fn new(count: usize, seed: u64, network: Network) -> Self {
         Self {
-            nodes: (0..count).map(|_| Confirmer::new(INTERVAL)).collect(),
+            nodes: (0..count)
+                .map(|_| Confirmer::new(Incarnation::new(1), INTERVAL))
+                .collect(),
             rosters: (0..count).map(|node| roster(node, count)).collect(),
             known: vec![0; count],
             in_transit: Vec::new(),
@@ -115,13 +118,13 @@
         self.in_transit = later;
         for (_, message) in due {
             match message {
-                Message::Query(to, from, number) if alive(to) => {
+                Message::Query(to, from, serial) if alive(to) => {
                     self.rosters[to].on_heard(address(from), at);
                     let known = StorePosition {
                         revision: self.known[to],
                         ..StorePosition::default()
                     };
-                    let reply = self.nodes[to].reply(number, known, at);
+                    let reply = self.nodes[to].reply(serial, known, at);
                     self.send(now, Message::Reply(to, from, reply));
                 }
                 Message::Reply(from, to, reply) if alive(to) => {
@@ -166,11 +169,11 @@
                         self.in_transit
                             .push((now + took, Message::Fetched(node, revision)));
                     }
-                    Action::Ask(peer, number) => {
+                    Action::Ask(peer, serial) => {
                         let to = (0..self.nodes.len())
                             .find(|other| address(*other) == peer)
                             .unwrap();
-                        self.send(now, Message::Query(to, node, number));
+                        self.send(now, Message::Query(to, node, serial));
                     }
                 }
             }
@@ -316,13 +319,13 @@
 
 #[test]
 fn a_peer_with_a_newer_revision_triggers_a_read_and_a_late_reply_is_ignored() {
-    let mut node = Confirmer::new(INTERVAL);
+    let mut node = Confirmer::new(Incarnation::new(1), INTERVAL);
     let mut roster = roster(0, 2);
     let ms = Time::from_millis;
     let query = |node: &mut Confirmer, roster: &mut Roster, now: u64| {
         let actions = node.poll(roster, ms(now));
         actions.into_iter().find_map(|action| match action {
-            Action::Ask(_, number) => Some(number),
+            Action::Ask(_, serial) => Some(serial),
             Action::Read | Action::Fetch(_) => None,
         })
     };
@@ -331,8 +334,8 @@
     roster.on_heard(address(1), ms(1000));
     let second = query(&mut node, &mut roster, 1000).unwrap();
     node.on_read(ms(1000));
-    let reply = |number, revision| ConfirmReply {
-        number,
+    let reply = |serial, revision| ConfirmReply {
+        serial,
         age: Some(100),
         failing: false,
         known: StorePosition {
--- a/crates/catkinusher-core/tests/detector.rs
+++ b/crates/catkinusher-core/tests/detector.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use catkinusher_core::fingerprint::Fingerprint;
+use catkinusher_core::id::Incarnation;
 use catkinusher_core::poison::{Content, CrashReport, Detector, Policy, QuarantineEntry};
 use catkinusher_core::time::Time;
 use catkinusher_core::units::Span;
@@ -68,7 +69,7 @@
 
 #[test]
 fn three_crashes_apart_condemn_content_for_the_quarantine() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let dead = [part("dead")];
     detector.on_report(&report(1, 1, &dead), ms(0));
     detector.on_report(&report(2, 2, &dead), ms(300));
@@ -94,7 +95,7 @@
 
 #[test]
 fn crashes_at_the_same_moment_condemn_nothing() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let content = [part("a")];
     let crashes: Vec<(u64, u64)> = (0..12).map(|number| (number * 10, number)).collect();
     assert_eq!(judge(&mut detector, &crashes, &content), 0);
@@ -102,7 +103,7 @@
 
 #[test]
 fn one_request_that_is_retried_condemns_nothing() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let content = [part("a")];
     let crashes = [(0, 7), (400, 7), (800, 7), (1200, 7)];
     assert_eq!(judge(&mut detector, &crashes, &content), 0);
@@ -112,19 +113,19 @@
 fn content_that_any_node_saw_answered_is_not_condemned() {
     let crashes = [(0, 1), (400, 2), (800, 3), (1200, 4)];
     let content = [part("a")];
-    let mut before = Detector::new(Policy::default());
+    let mut before = Detector::new(Incarnation::new(1), Policy::default());
     before.on_answered(&content, ms(0));
     let unknown = report(1, 1, &[]);
     let broken = [content[0], part("request 1")];
     assert_eq!(before.report(1, 1, &broken, true, ms(1)), Some(unknown));
     assert_eq!(judge(&mut before, &crashes, &content), 0);
-    let mut during = Detector::new(Policy::default());
+    let mut during = Detector::new(Incarnation::new(1), Policy::default());
     for (upstream, (at, request)) in crashes.iter().enumerate() {
         during.on_report(&report(upstream as u32, *request, &content), ms(*at));
     }
     let inquiry = during.poll(2, ms(1200)).inquiry.unwrap();
     assert_eq!(inquiry.content, content);
-    let mut other = Detector::new(Policy::default());
+    let mut other = Detector::new(Incarnation::new(1), Policy::default());
     other.on_answered(&content, ms(1000));
     let reply = other.reply(&inquiry, ms(1210));
     during.on_reply(&reply, node(1), ms(1220));
@@ -136,7 +137,7 @@
 
 #[test]
 fn a_node_that_is_cut_off_condemns_nothing_until_others_reply() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let content = [part("a")];
     for (upstream, at) in [(1, 0), (2, 400), (3, 800)] {
         detector.on_report(&report(upstream, upstream.into(), &content), ms(at));
@@ -148,7 +149,7 @@
         last = findings.inquiry.or(last);
     }
     let inquiry = last.unwrap();
-    let reply = Detector::new(Policy::default()).reply(&inquiry, ms(20_000));
+    let reply = Detector::new(Incarnation::new(1), Policy::default()).reply(&inquiry, ms(20_000));
     for number in 0..5 {
         assert_eq!(detector.poll(9, ms(30_000)).condemned, []);
         detector.on_reply(&reply, node(number), ms(20_100));
@@ -158,7 +159,7 @@
 
 #[test]
 fn many_suspects_are_asked_about_in_messages_that_fit() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let content: Vec<_> = (0..250).map(|number| part(&number.to_string())).collect();
     for (upstream, at) in [(1, 0), (2, 400), (3, 800)] {
         detector.on_report(&report(upstream, upstream.into(), &content), ms(at));
@@ -174,7 +175,7 @@
 
 #[test]
 fn content_that_is_only_used_with_deadly_content_is_not_condemned() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let [dead, rare] = [part("dead"), part("rare")];
     for (upstream, at) in [(1, 0), (2, 400), (3, 800)] {
         detector.on_report(&report(upstream, upstream.into(), &[dead, rare]), ms(at));
@@ -190,7 +191,7 @@
 
 #[test]
 fn a_prompt_that_comes_again_hides_no_part_and_condemns_no_sound_one() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let [dead, rare] = [part("dead"), part("rare")];
     // Its caller repeats the prompt once, and each time it is sent to two upstreams.
     for (upstream, (at, request)) in [(0, 1), (300, 1), (600, 2), (900, 2)]
@@ -219,7 +220,7 @@
 
 #[test]
 fn a_bystander_of_the_same_crashes_is_not_condemned() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let [dead, rare] = [part("dead"), part("rare")];
     for (upstream, at) in [(1, 0), (2, 400), (3, 800)] {
         detector.on_report(&report(upstream, upstream.into(), &[dead]), ms(at));
@@ -238,7 +239,7 @@
 
 #[test]
 fn what_another_node_condemned_explains_crashes() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let [dead, rare] = [part("dead"), part("rare")];
     for (upstream, at) in [(1, 0), (2, 400), (3, 800)] {
         detector.on_report(&report(upstream, upstream.into(), &[dead, rare]), ms(at));
@@ -250,7 +251,7 @@
 
 #[test]
 fn content_that_was_sound_long_ago_is_suspected_again() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let content = [part("a")];
     detector.on_answered(&content, ms(0));
     let crashes = [(130_000, 1), (130_400, 2), (130_800, 3)];
@@ -259,7 +260,7 @@
 
 #[test]
 fn entries_of_other_nodes_are_taken_over_until_they_are_released() {
-    let mut detector = Detector::new(Policy::default());
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let content = [part("a"), part("b")];
     let entry = QuarantineEntry::proven(content[0], 3, Span::from_secs(60));
     assert_eq!(detector.on_entries(&[entry], ms(0)), content[..1]);
@@ -335,7 +336,7 @@
 impl Fleet {
     fn new(seed: u64, deadly: usize, repeats: bool) -> Self {
         Self {
-            nodes: vec![Detector::new(Policy::default()); NODES],
+            nodes: vec![Detector::new(Incarnation::new(1), Policy::default()); NODES],
             running: Vec::new(),
             next: 0,
             stored: Vec::new(),
@@ -544,3 +545,29 @@
         assert_eq!(counts.refused, 0);
     }
 }
+
+#[test]
+fn a_late_reply_to_the_last_process_is_no_answer_to_an_inquiry() {
+    // Content was condemned without the answers of half of the nodes.
+    let suspected = |process| {
+        let mut detector = Detector::new(Incarnation::new(process), Policy::default());
+        for number in 0..5 {
+            detector.on_report(
+                &report(number, number.into(), &[part("a")]),
+                ms(u64::from(number) * 300),
+            );
+        }
+        let inquiry = detector.poll(10, ms(1500)).inquiry.unwrap();
+        (detector, inquiry)
+    };
+    let (_, late) = suspected(1);
+    let (mut detector, _) = suspected(2);
+    let other = Detector::new(Incarnation::new(3), Policy::default());
+    for number in 0..10 {
+        let reply = other.reply(&late, ms(1500));
+        detector.on_reply(&reply, node(number), ms(1600));
+    }
+    for now in (1600..3000).step_by(100) {
+        assert!(detector.poll(10, ms(now)).condemned.is_empty());
+    }
+}
--- a/crates/catkinusher-core/tests/fleet.rs
+++ b/crates/catkinusher-core/tests/fleet.rs
@@ -279,7 +279,7 @@
         assert_eq!(placed.primary, upstream(2).id);
         start(&mut fleet, &placed, ms(1));
     }
-    assert!(!fleet.accepts_requests(&leaving.id, ms(1)));
+    assert!(!fleet.accepts_requests(&leaving.id, &model().name, ms(1)));
     fleet.on_removed(&upstream(2).id, false, ms(2));
     assert_eq!(place(&mut fleet, &short(), ms(2)), Err(Overload::None));
 }
@@ -288,15 +288,15 @@
 fn an_entry_that_expired_in_an_outage_is_kept_for_the_grace_period_only() {
     let mut fleet = fleet(2);
     fleet.on_list(vec![upstream(0)], true, ms(10_000));
-    assert!(fleet.accepts_requests(&upstream(1).id, ms(10_000)));
+    assert!(fleet.accepts_requests(&upstream(1).id, &model().name, ms(10_000)));
     assert!(fleet.expire(ms(12_100)).is_empty());
     assert_eq!(fleet.expire(ms(12_300)), [upstream(1).id]);
-    assert!(!fleet.accepts_requests(&upstream(1).id, ms(12_300)));
+    assert!(!fleet.accepts_requests(&upstream(1).id, &model().name, ms(12_300)));
     let mut later = fleet.clone();
     later.on_list(vec![upstream(0), upstream(1)], true, ms(12_400));
     later.on_list(vec![upstream(0)], false, ms(20_000));
     assert!(
-        !later.accepts_requests(&upstream(1).id, ms(20_000)),
+        !later.accepts_requests(&upstream(1).id, &model().name, ms(20_000)),
         "without an outage it is removed at once"
     );
 }
@@ -307,7 +307,7 @@
     fleet.on_removed(&upstream(1).id, true, ms(10_000));
     fleet.on_change(upstream(1), ms(11_000));
     assert!(fleet.expire(ms(60_000)).is_empty());
-    assert!(fleet.accepts_requests(&upstream(1).id, ms(60_000)));
+    assert!(fleet.accepts_requests(&upstream(1).id, &model().name, ms(60_000)));
 }
 
 #[test]
--- a/crates/catkinusher-core/tests/placer.rs
+++ b/crates/catkinusher-core/tests/placer.rs
@@ -10,6 +10,7 @@
 use catkinusher_core::fleet::{
     Authority, Cell, Demand, Fleet, Load, Overload, Policy, Pressure, Upstream,
 };
+use catkinusher_core::id::{Incarnation, Serial};
 use catkinusher_core::placer::{Ask, Asker, Context, Placer, Step, Verdict};
 use catkinusher_core::time::Time;
 use catkinusher_core::units::{Rate, Tokens};
@@ -46,7 +47,7 @@
 
 fn ask(number: u64, cell: Cell, prompt: u64) -> Ask {
     Ask {
-        number,
+        serial: Serial::new(Incarnation::new(1), number),
         cell,
         forwarded: false,
         prompt: Tokens::new(prompt),
@@ -84,7 +85,7 @@
         let mut fleet = Fleet::new("gent".parse().unwrap());
         fleet.on_list(upstreams, false, ms(0));
         Self {
-            placer: Placer::default(),
+            placer: Placer::new(Incarnation::new(1)),
             fleet,
             directory: directory(),
             policy: Policy::default(),
@@ -113,7 +114,7 @@
         self.placer
             .poll(&mut context, &mut self.rng)
             .into_iter()
-            .map(|(asker, answer)| (asker, answer.number, answer.verdict))
+            .map(|(asker, answer)| (asker, answer.serial.number, answer.verdict))
             .collect()
     }
 }
@@ -167,7 +168,8 @@
         ..Load::default()
     };
     let report = HashMap::from([(granted.primary.upstream, load)]);
-    node.fleet.on_loads(7, report, true, granted.grant, ms(20));
+    node.fleet
+        .on_loads(7, report, true, granted.grant.number, ms(20));
     assert!(busy(&node, ms(600)), "the report has replaced the grant");
     let ended = Load {
         short_requests: 0,
@@ -176,7 +178,7 @@
     };
     let report = HashMap::from([(granted.primary.upstream, ended)]);
     node.fleet
-        .on_loads(7, report, false, granted.grant, ms(700));
+        .on_loads(7, report, false, granted.grant.number, ms(700));
     assert!(!busy(&node, ms(700)));
     // The answer to the second ask is lost.
     let _lost = node.on_ask(7, ask(2, whole(), 5000), ms(800));
@@ -335,3 +337,27 @@
     assert!(sent <= 59, "{sent} requests in one second");
     assert!(sent > 0);
 }
+
+#[test]
+fn an_ask_of_a_restarted_node_is_not_taken_for_one_of_its_last_process() {
+    // Requests of a restarted node got the upstreams of another service (ROUTE).
+    let mut node = Node::new(vec![upstream(0)]);
+    let long = |number| Ask {
+        objective: 3000,
+        patience: 12_000,
+        ..ask(number, whole(), 180_000)
+    };
+    for from in [1, 2] {
+        let answer = verdict(node.on_ask(from, long(1), ms(0)));
+        assert_eq!(answer, Verdict::Waiting);
+    }
+    let restarted = Ask {
+        serial: Serial::new(Incarnation::new(2), 1),
+        ..ask(1, whole(), 40)
+    };
+    let short = verdict(node.on_ask(1, restarted, ms(250)));
+    assert!(matches!(short, Verdict::Granted(_)), "{short:?}");
+    node.placer.forget_peer(1);
+    node.placer.forget_peer(2);
+    assert!(!node.placer.has_waiting(), "no process waits for them");
+}
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -285,7 +285,10 @@
         }
         // The upstream and the configuration may have changed while the connection was opened.
         let now = self.state.now();
-        let is_usable = self.state.fleet().accepts_requests(upstream, now);
+        let is_usable = self
+            .state
+            .fleet()
+            .accepts_requests(upstream, &self.service, now);
         if !is_usable || !self.state.trusts_configuration() {
             return Err(AttemptError::Unsent(
                 "upstream or configuration no longer usable".to_owned(),
--- a/crates/catkinusherd/src/gateway/attempt/turn.rs
+++ b/crates/catkinusherd/src/gateway/attempt/turn.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use catkinusher_core::fleet::{Authority, Cell, Demand, Fleet, Overload, Placement};
+use catkinusher_core::id::Serial;
 use catkinusher_core::outcome::Refusal;
 use catkinusher_core::placer::Ask;
 use catkinusher_core::units::Span;
@@ -44,8 +45,8 @@
             .state
             .fleet()
             .home_cell(&self.service, self.state.settings.node.as_str());
-        let waiting = placing::ask(&self.state, &cell, self.request_id(), |number, unusable| {
-            self.describe(number, cell.clone(), unusable)
+        let waiting = placing::ask(&self.state, &cell, self.request_id(), |serial, unusable| {
+            self.describe(serial, cell.clone(), unusable)
         });
         self.enter(Stage::Placement);
         let answer = tokio::select! {
@@ -83,7 +84,7 @@
     }
 
     /// The ask for this request at the present moment.
-    fn describe(&self, number: u64, cell: Cell, unusable: &[u32]) -> Ask {
+    fn describe(&self, serial: Serial, cell: Cell, unusable: &[u32]) -> Ask {
         let now = self.state.now();
         let waited = now.since(self.received);
         let mut avoid = unusable.to_vec();
@@ -92,7 +93,7 @@
         avoid.extend(unusable.into_iter().take(MAX_AVOIDED));
         let millis = |time: Duration| time.as_millis() as u64;
         Ask {
-            number,
+            serial,
             cell,
             forwarded: false,
             prompt: self.ask.prompt,
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 
 use catkinusher_core::confirm::{Action, ConfirmReply, Confirmer, ReplyOutcome};
+use catkinusher_core::id::Serial;
 use catkinusher_platform::{Priority, Store};
 use serde_json::Value;
 use tokio::net::UdpSocket;
@@ -59,9 +60,9 @@
                         (Arc::clone(&state), store.stale(), schema.clone());
                     tokio::spawn(async move { fetch(&state, &store, &schema, revision).await });
                 }
-                Action::Ask(peer, number) => {
+                Action::Ask(peer, serial) => {
                     let seen = Feed::ALL.map(|feed| state.feeds.upto(feed)).to_vec();
-                    peers::send(&socket, &Message::ConfirmQuery(number, seen), peer);
+                    peers::send(&socket, &Message::ConfirmQuery(serial, seen), peer);
                 }
             }
         }
@@ -142,9 +143,9 @@
 }
 
 /// Replies to a peer's confirmation query.
-pub(super) fn reply_to_peer<D>(state: &State<D>, number: u64) -> ConfirmReply {
+pub(super) fn reply_to_peer<D>(state: &State<D>, serial: Serial) -> ConfirmReply {
     let known = state.view().position();
-    state.confirmer().reply(number, known, clock::boot_time())
+    state.confirmer().reply(serial, known, clock::boot_time())
 }
 
 /// Handles a peer's reply to a confirmation query.
--- a/crates/catkinusherd/src/gateway/peers/message.rs
+++ b/crates/catkinusherd/src/gateway/peers/message.rs
@@ -8,7 +8,7 @@
 use catkinusher_core::confirm::ConfirmReply;
 use catkinusher_core::feed::Batch;
 use catkinusher_core::fleet::{Cell, LimitReport, Load, Pressure};
-use catkinusher_core::id::{DataCentreId, ServiceId};
+use catkinusher_core::id::{DataCentreId, Incarnation, Serial, ServiceId};
 use catkinusher_core::object::Version;
 use catkinusher_core::placer::{Answer, Ask};
 use catkinusher_core::poison::{CrashReport, Inquiry, InquiryReply, QuarantineEntry};
@@ -25,16 +25,16 @@
 #[serde(into = "ReportRow", from = "ReportRow")]
 pub(in crate::gateway) struct Report {
     pub(super) node: u64,
-    pub(super) incarnation: u32,
+    pub(super) incarnation: Incarnation,
     pub(super) sequence: u64,
     pub(super) is_full: bool,
-    /// The number of the last grant that it covers.
-    pub(super) granted: u64,
+    /// The serial of the last grant that it covers.
+    pub(super) granted: Serial,
     pub(super) loads: Vec<(u32, Load)>,
 }
 
 /// The fields of a [`Report`] in order.
-type ReportRow = (u64, u32, u64, bool, u64, Vec<(u32, Load)>);
+type ReportRow = (u64, Incarnation, u64, bool, Serial, Vec<(u32, Load)>);
 
 impl From<Report> for ReportRow {
     fn from(report: Report) -> Self {
@@ -129,12 +129,12 @@
     /// The load that the sender causes at upstreams.
     #[serde(rename = "r")]
     Report(Report),
-    /// Asks when the configuration was last confirmed; the reply repeats the number.
+    /// Asks when the configuration was last confirmed; the reply repeats the serial.
     ///
     /// The positions up to which the sender has seen each kind of [`Feed::ALL`]
     /// follow, so that it gets the changes since.
     #[serde(rename = "a")]
-    ConfirmQuery(u64, Vec<Version>),
+    ConfirmQuery(Serial, Vec<Version>),
     /// The reply to a query.
     #[serde(rename = "w")]
     ConfirmReply(ConfirmReply),
--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -12,6 +12,8 @@
 
 use anyhow::Context;
 use catkinusher_core::fleet::Cell;
+use catkinusher_core::id::Incarnation;
+use catkinusher_core::process::{Origin, Processes};
 use catkinusher_core::roster::Member;
 use catkinusher_platform::{Error, Priority, Store};
 use tokio::net::UdpSocket;
@@ -138,7 +140,7 @@
     D: Dialect,
 {
     let mut bytes = vec![0; message::MAX_MESSAGE_BYTES];
-    let mut latest = HashMap::<u64, (u32, u64)>::new();
+    let mut senders = Senders::default();
     loop {
         let (length, from) = match socket.recv_from(&mut bytes).await {
             Ok(received) => received,
@@ -150,9 +152,9 @@
         };
         state.roster().on_heard(from, clock::boot_time());
         match ciborium::from_reader(&bytes[..length]) {
-            Ok(Message::Report(report)) => on_report(&state, report, &mut latest),
-            Ok(Message::ConfirmQuery(number, seen)) => {
-                let reply = confirm::reply_to_peer(&state, number);
+            Ok(Message::Report(report)) => senders.on_report(&state, report),
+            Ok(Message::ConfirmQuery(serial, seen)) => {
+                let reply = confirm::reply_to_peer(&state, serial);
                 send(&socket, &Message::ConfirmReply(reply), from);
                 for (feed, seen) in Feed::ALL.into_iter().zip(seen) {
                     let Some(batches) = state.feeds.since(feed, seen) else {
@@ -173,7 +175,12 @@
             }
             Ok(Message::Changes(feed, batch)) => state.feeds.deliver(feed, batch),
             Ok(Message::ConfirmReply(reply)) => confirm::on_peer_reply(&state, &reply),
-            Ok(Message::Ask(question)) => placing::on_question(&state, &socket, question, from),
+            Ok(Message::Ask(question)) => {
+                let process = question.ask.serial.process;
+                if senders.is_current(&state, question.node, process) {
+                    placing::on_question(&state, &socket, question, from);
+                }
+            }
             Ok(Message::Answer(answer)) => placing::deliver(&state, Some(from), answer),
             Ok(Message::BrokenOff(report)) => quarantine::on_report(&state, &report),
             Ok(Message::Inquiry(inquiry)) => {
@@ -197,20 +204,47 @@
     }
 }
 
-fn on_report<D>(state: &State<D>, report: message::Report, latest: &mut HashMap<u64, (u32, u64)>) {
-    let now = state.now();
-    let seen = latest.entry(report.node).or_default();
-    // Datagrams may arrive out of order; a restarted node has a new incarnation and counts from the start.
-    if seen.0 == report.incarnation {
-        if seen.1 >= report.sequence {
+/// The processes that reports and asks came from.
+#[derive(Debug, Default)]
+struct Senders {
+    processes: Processes,
+    /// The number of the last report of each peer.
+    reports: HashMap<u64, u64>,
+}
+
+impl Senders {
+    /// Whether a message comes from the current process of a peer.
+    ///
+    /// If that is a new one, the loads, reports and asks of the last one end.
+    fn is_current<D>(&mut self, state: &State<D>, peer: u64, process: Incarnation) -> bool {
+        let origin = self.processes.on_message(peer, process);
+        if origin == Origin::New {
+            self.reports.remove(&peer);
+            state.fleet().forget_peer(peer);
+            state.placer().forget_peer(peer);
+        }
+        origin != Origin::Ended
+    }
+
+    fn on_report<D>(&mut self, state: &State<D>, report: message::Report) {
+        if !self.is_current(state, report.node, report.incarnation) {
+            return;
+        }
+        // Datagrams may arrive out of order.
+        let last = self.reports.entry(report.node).or_default();
+        if *last >= report.sequence {
             return;
         }
-    } else if seen.1 > 0 {
-        state.fleet().forget_peer(report.node);
+        *last = report.sequence;
+        // A grant of an earlier process of this node is covered by nothing here.
+        let granted = report.granted.number_of(state.incarnation);
+        let loads = report.loads.into_iter().collect();
+        state.fleet().on_loads(
+            report.node,
+            loads,
+            report.is_full,
+            granted.unwrap_or_default(),
+            state.now(),
+        );
     }
-    *seen = (report.incarnation, report.sequence);
-    let loads = report.loads.into_iter().collect();
-    state
-        .fleet()
-        .on_loads(report.node, loads, report.is_full, report.granted, now);
 }
--- a/crates/catkinusherd/src/gateway/placing.rs
+++ b/crates/catkinusherd/src/gateway/placing.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use catkinusher_core::fleet::{Basis, Cell, Overload, Placement};
-use catkinusher_core::id::UpstreamId;
+use catkinusher_core::id::{Incarnation, Serial, ServiceId, UpstreamId};
 use catkinusher_core::placer::{
     Answer, Ask, Asker, Context, Granted, REPEAT_INTERVAL, RETRY_INTERVAL, Step, Verdict,
 };
@@ -69,25 +69,33 @@
 /// The open asks of this node.
 #[derive(Debug)]
 pub(super) struct Asks<D> {
+    process: Incarnation,
     next: AtomicU64,
-    open: Mutex<HashMap<u64, mpsc::Sender<Reply<D>>>>,
+    open: Mutex<HashMap<Serial, Entry<D>>>,
     /// The last grant of each node that places requests.
-    grants: Mutex<HashMap<SocketAddr, u64>>,
+    grants: Mutex<HashMap<SocketAddr, Serial>>,
 }
 
-impl<D> Default for Asks<D> {
-    fn default() -> Self {
+/// Where the answers to an ask go.
+#[derive(Debug)]
+struct Entry<D> {
+    service: ServiceId,
+    sender: mpsc::Sender<Reply<D>>,
+}
+
+impl<D> Asks<D> {
+    /// Creates the asks of a process.
+    pub(super) fn new(process: Incarnation) -> Self {
         Self {
+            process,
             next: AtomicU64::new(0),
             open: Mutex::default(),
             grants: Mutex::default(),
         }
     }
-}
 
-impl<D> Asks<D> {
-    /// The number of the last grant from a node, for reports to it.
-    pub(super) fn last_grant(&self, node: SocketAddr) -> u64 {
+    /// The serial of the last grant from a node, for reports to it.
+    pub(super) fn last_grant(&self, node: SocketAddr) -> Serial {
         lock(&self.grants).get(&node).copied().unwrap_or_default()
     }
 }
@@ -100,18 +108,19 @@
 #[derive(Debug)]
 struct OpenAsk<D> {
     state: Arc<State<D>>,
-    number: u64,
+    serial: Serial,
     replies: mpsc::Receiver<Reply<D>>,
 }
 
 impl<D> OpenAsk<D> {
-    fn new(state: &Arc<State<D>>) -> Self {
+    fn new(state: &Arc<State<D>>, service: ServiceId) -> Self {
         let number = state.asks.next.fetch_add(1, Ordering::Relaxed) + 1;
+        let serial = Serial::new(state.asks.process, number);
         let (sender, replies) = mpsc::channel(ANSWER_QUEUE);
-        lock(&state.asks.open).insert(number, sender);
+        lock(&state.asks.open).insert(serial, Entry { service, sender });
         Self {
             state: Arc::clone(state),
-            number,
+            serial,
             replies,
         }
     }
@@ -119,9 +128,9 @@
 
 impl<D> Drop for OpenAsk<D> {
     fn drop(&mut self) {
-        lock(&self.state.asks.open).remove(&self.number);
+        lock(&self.state.asks.open).remove(&self.serial);
         let own = self.state.asker();
-        self.state.placer().cancel(own, self.number);
+        self.state.placer().cancel(own, self.serial);
     }
 }
 
@@ -147,9 +156,9 @@
 ) -> Result<Placed<D>, NotPlaced>
 where
     D: Dialect,
-    F: Fn(u64, &[u32]) -> Ask,
+    F: Fn(Serial, &[u32]) -> Ask,
 {
-    let mut open = OpenAsk::new(state);
+    let mut open = OpenAsk::new(state, cell.service.clone());
     let mut unusable = Vec::new();
     let mut asked = 0;
     let mut queued = false;
@@ -168,7 +177,7 @@
         let mut sent_at = clock::boot_time();
         let mut resent = false;
         let mut waiting = false;
-        transmit(state, holder, describe(open.number, &unusable));
+        transmit(state, holder, describe(open.serial, &unusable));
         loop {
             let now = clock::boot_time();
             let due = match (waiting, resent) {
@@ -223,7 +232,7 @@
                         resent = false;
                         sent_at = clock::boot_time();
                         let at = waits_at.unwrap_or(holder);
-                        transmit(state, at, describe(open.number, &unusable));
+                        transmit(state, at, describe(open.serial, &unusable));
                     } else if resent {
                         let at = waits_at.take().unwrap_or(holder);
                         let now = clock::boot_time();
@@ -233,7 +242,7 @@
                     } else {
                         resent = true;
                         let at = waits_at.unwrap_or(holder);
-                        transmit(state, at, describe(open.number, &unusable));
+                        transmit(state, at, describe(open.serial, &unusable));
                     }
                 }
             }
@@ -283,7 +292,7 @@
 where
     D: Dialect,
 {
-    let number = ask.number;
+    let serial = ask.serial;
     let directory = state.view().directory.clone();
     let directory = directory.filter(|_| !state.stopping.is_cancelled() || asker.peer.is_none());
     let step = match directory {
@@ -299,7 +308,7 @@
             placer.on_ask(asker, ask, &mut context, &mut rand::rng())
         }
         None => Step::Answer(Answer {
-            number,
+            serial,
             verdict: Verdict::Unable,
         }),
     };
@@ -349,16 +358,18 @@
 where
     D: Dialect,
 {
-    let sender = lock(&state.asks.open).get(&answer.number).cloned();
-    let Some(sender) = sender else {
+    let open = lock(&state.asks.open);
+    let Some(Entry { service, sender }) = open.get(&answer.serial) else {
         return;
     };
+    let (service, sender) = (service.clone(), sender.clone());
+    drop(open);
     let reply = match answer.verdict {
         Verdict::Granted(granted) => {
             if let Some(from) = from {
                 lock(&state.asks.grants).insert(from, granted.grant);
             }
-            take(state, &granted)
+            take(state, &service, &granted)
         }
         Verdict::Waiting => Reply::Waiting(from),
         Verdict::Overloaded(overload) => Reply::Overloaded(overload),
@@ -368,8 +379,11 @@
     let _ended = sender.try_send(reply);
 }
 
-/// Counts the load of a grant, if this node can use all of its upstreams.
-fn take<D>(state: &Arc<State<D>>, granted: &Granted) -> Reply<D>
+/// Counts the load of a grant, if this node can use all of its upstreams for the service of the ask.
+///
+/// The lists of two nodes may differ, and two upstreams may share a short id, so the node that
+/// sends the request checks what another one has chosen.
+fn take<D>(state: &Arc<State<D>>, service: &ServiceId, granted: &Granted) -> Reply<D>
 where
     D: Dialect,
 {
@@ -380,7 +394,9 @@
     let mut fleet = state.fleet();
     for part in parts {
         match fleet.find_by_short_id(part.upstream) {
-            Some(id) if fleet.accepts_requests(id, now) => found.push((id.clone(), part.cost)),
+            Some(id) if fleet.accepts_requests(id, service, now) => {
+                found.push((id.clone(), part.cost));
+            }
             _ => unusable.push(part.upstream),
         }
     }
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -8,7 +8,7 @@
 use catkinusher_core::confirm::{Confirmer, StorePosition, WatchProgress};
 use catkinusher_core::directory::Directory;
 use catkinusher_core::fleet::{Fleet, MIN_ASSUMED_NODES};
-use catkinusher_core::id::ServiceId;
+use catkinusher_core::id::{Incarnation, ServiceId};
 use catkinusher_core::placer::{Asker, Placer};
 use catkinusher_core::poison::{self, Detector};
 use catkinusher_core::rendezvous::Salt;
@@ -123,7 +123,7 @@
     /// The number of this node in its reports.
     pub(super) node_number: u64,
     /// Differs between successive processes of this node.
-    pub(super) incarnation: u32,
+    pub(super) incarnation: Incarnation,
     pub(super) asks: Asks<D>,
     pub(super) feeds: Feeds,
     /// When the store was last confirmed again after an outage, in microseconds since boot.
@@ -145,18 +145,19 @@
 impl<D> State<D> {
     pub(super) fn new(settings: Settings, dialect: D) -> Self {
         let fleet = Fleet::new(settings.data_centre.clone());
-        let confirmer = Confirmer::new(settings.rhythm);
+        let incarnation = Incarnation::new(rand::random::<u32>().into());
+        let confirmer = Confirmer::new(incarnation, settings.rhythm);
         let roster = Roster::new(settings.member(), clock::boot_time());
         Self {
             node_number: SALT.score("node", settings.node.as_str()),
-            incarnation: rand::random(),
-            asks: Asks::default(),
+            incarnation,
+            asks: Asks::new(incarnation),
             feeds: Feeds::default(),
             regained_at: AtomicU64::new(0),
             socket: OnceLock::new(),
             roster: Mutex::new(roster),
             registration: Mutex::default(),
-            placer: Mutex::default(),
+            placer: Mutex::new(Placer::new(incarnation)),
             settings,
             dialect,
             timers: Timers::start(Clock::start()),
@@ -171,7 +172,7 @@
             view: Mutex::default(),
             fleet: Mutex::new(fleet),
             budgets: Mutex::default(),
-            detector: Mutex::new(Detector::new(poison::Policy::default())),
+            detector: Mutex::new(Detector::new(incarnation, poison::Policy::default())),
             metrics: Metrics::default(),
             ready: AtomicBool::new(false),
             open_requests: OpenRequests::default(),
