Decode each object of a page by itself

Cause: a page of the store was decoded as one JSON value, so what the decoder cannot take in one item failed the page, and the call counted as an outage.

Ruled out: a port out of range and wrong types, which failed their entry only.

Evidence, failing on: the item tests (`unexpected end of hex escape` for the page; the name of the next page missing) and the gateway test with odd entries of all kinds, whose node was not ready in 20 s.

What cannot be read is returned beside the rest, counted, and logged once in ten minutes. Why it works: whatever is wrong within an item cannot change how the others are read.

--- a/crates/catkinusher-platform/src/form/mod.rs
+++ b/crates/catkinusher-platform/src/form/mod.rs
@@ -6,6 +6,7 @@
 //! [docs/PROTOCOLS.md](../../../../docs/PROTOCOLS.md)).
 
 mod native;
+pub mod parts;
 
 use std::fmt::Debug;
 use std::time::Duration;
--- a/crates/catkinusher-platform/src/form/native.rs
+++ b/crates/catkinusher-platform/src/form/native.rs
@@ -8,9 +8,9 @@
 
 use catkinusher_core::object::Version;
 
-use super::{Condition, Form, Wire, decode, encode, escape};
-use crate::error::Result;
-use crate::store::{Listing, Object, VALUE_LIMIT, Watched};
+use super::{Condition, Form, Wire, decode, encode, escape, parts};
+use crate::error::{Error, Result};
+use crate::store::{Event, Listing, Object, Unreadable, VALUE_LIMIT, Watched};
 
 /// The native format: paths under `/v1`, versions as entity tags.
 #[derive(Debug, Clone, Copy, Default)]
@@ -73,15 +73,50 @@
     where
         T: DeserializeOwned,
     {
+        let version = parts::required(body, "version")?;
+        let mut objects = Vec::new();
+        let mut unreadable = Vec::new();
+        for item in parts::elements(parts::required_text(body, "objects")?)? {
+            match decode(item) {
+                Ok(object) => objects.push(object),
+                Err(error) => unreadable.push(unreadable_item(item, &error)),
+            }
+        }
+        let listing = Listing {
+            version,
+            objects,
+            unreadable,
+        };
         // This API returns all objects of a kind in one page.
-        decode(body).map(|listing| (listing, None))
+        Ok((listing, None))
     }
 
     fn watched<T>(&self, body: &[u8]) -> Result<Watched<T>>
     where
         T: DeserializeOwned,
     {
-        decode(body)
+        let version = parts::required(body, "version")?;
+        let mut events = Vec::new();
+        let mut unreadable = Vec::new();
+        for item in parts::elements(parts::required_text(body, "events")?)? {
+            match decode(item) {
+                Ok(event) => events.push(event),
+                Err(error) => {
+                    let item = unreadable_item(item, &error);
+                    events.extend(item.name.clone().map(|name| Event {
+                        name,
+                        version,
+                        value: None,
+                    }));
+                    unreadable.push(item);
+                }
+            }
+        }
+        Ok(Watched {
+            version,
+            events,
+            unreadable,
+        })
     }
 
     fn version(&self, body: &[u8]) -> Result<Version> {
@@ -89,6 +124,13 @@
     }
 }
 
+fn unreadable_item(item: &[u8], error: &Error) -> Unreadable {
+    Unreadable {
+        name: parts::required(item, "name").ok(),
+        reason: error.to_string(),
+    }
+}
+
 fn condition_header(condition: Condition) -> Option<(HeaderName, HeaderValue)> {
     match condition {
         Condition::Any => None,
--- a/crates/catkinusher-platform/src/lib.rs
+++ b/crates/catkinusher-platform/src/lib.rs
@@ -17,5 +17,5 @@
 pub use catkinusher_core::object::Version;
 pub use error::{Error, Result};
 pub use gate::{Calls, Gate, Priority};
-pub use store::{Event, Listing, Object, Store, Watched};
+pub use store::{Event, Listing, Object, Store, Unreadable, Watched};
 pub use vms::{Member, Role, State, Vms};
--- a/crates/catkinusher-platform/src/store/mod.rs
+++ b/crates/catkinusher-platform/src/store/mod.rs
@@ -17,7 +17,7 @@
 mod object;
 mod perform;
 
-pub use object::{Event, Listing, Object, Watched};
+pub use object::{Event, Listing, Object, Unreadable, Watched};
 
 /// The platform's size limit for a value, in bytes.
 pub const VALUE_LIMIT: usize = 1_000_000;
@@ -144,6 +144,7 @@
         while let Some(after) = more {
             let (page, next) = self.page(kind, prefix, Some(&after)).await?;
             whole.objects.extend(page.objects);
+            whole.unreadable.extend(page.unreadable);
             more = next;
         }
         Ok(whole)
--- a/crates/catkinusher-platform/src/store/object.rs
+++ b/crates/catkinusher-platform/src/store/object.rs
@@ -15,6 +15,15 @@
     pub value: T,
 }
 
+/// An object that could not be decoded; the other ones of its page hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unreadable {
+    /// Its name, if that could be read.
+    pub name: Option<String>,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
 /// The objects of a kind.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing<T> {
@@ -22,6 +31,9 @@
     pub version: Version,
     /// The objects, in the platform's order.
     pub objects: Vec<Object<T>>,
+    /// The objects that could not be decoded.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unreadable: Vec<Unreadable>,
 }
 
 /// A change of an object, as reported by a watch.
@@ -31,7 +43,7 @@
     pub name: String,
     /// Its version after the change.
     pub version: Version,
-    /// Its new value; `None` if it was deleted.
+    /// Its new value; `None` if it was deleted or cannot be read any more.
     pub value: Option<T>,
 }
 
@@ -42,4 +54,7 @@
     pub version: Version,
     /// The changes; empty if the wait timed out.
     pub events: Vec<Event<T>>,
+    /// The objects that could not be decoded; those with a name are among the changes.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unreadable: Vec<Unreadable>,
 }
--- a/crates/catkinusher-platform/src/vms/mod.rs
+++ b/crates/catkinusher-platform/src/vms/mod.rs
@@ -5,11 +5,12 @@
 
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
+use tracing::debug;
 
 use catkinusher_core::id::{DataCentreId, VmId};
 
 use crate::error::{Bad, Error, Result};
-use crate::form::Wire;
+use crate::form::{self, Wire, parts};
 use crate::gate::{Gate, Priority};
 use crate::transport::{Call, Transport};
 
@@ -51,11 +52,6 @@
     Leaving,
 }
 
-#[derive(Debug, Deserialize)]
-struct Answer {
-    vms: Vec<Member>,
-}
-
 /// A client of the VM list; clones share connections and budget.
 #[derive(Debug, Clone)]
 pub struct Vms {
@@ -95,8 +91,14 @@
         if reply.status != StatusCode::OK {
             return Err(Error::Bad(Bad::Status(reply.status)));
         }
-        let answer: Answer =
-            serde_json::from_slice(&reply.body).map_err(|fault| Error::Bad(Bad::Body(fault)))?;
-        Ok(answer.vms)
+        let mut vms = Vec::new();
+        for item in parts::elements(parts::required_text(&reply.body, "vms")?)? {
+            match form::decode(item) {
+                Ok(vm) => vms.push(vm),
+                // An entry that cannot be read must not hide the others.
+                Err(error) => debug!("vms: cannot read an entry: {error}"),
+            }
+        }
+        Ok(vms)
     }
 }
--- a/crates/catkinusher/src/command/status.rs
+++ b/crates/catkinusher/src/command/status.rs
@@ -86,6 +86,10 @@
     for report in &reports.objects {
         writeln!(out, "{}: {}", report.name, Lines(&report.value))?;
     }
+    for report in &reports.unreadable {
+        let name = report.name.as_deref().unwrap_or("?");
+        writeln!(out, "{name}: unreadable report: {}", report.reason)?;
+    }
     let silent = inventory.data_centres.iter().filter(|data_centre| {
         let name = data_centre.name.as_str();
         !reports.objects.iter().any(|report| report.name == name)
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 
 mod answer;
 mod attempt;
+mod bad_entries;
 mod clock;
 mod confirm;
 mod front;
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -335,7 +335,8 @@
     match store.get::<StoredEntry>(S::QUARANTINE, name).await {
         // Another node that collects reports was first.
         Ok(Some(object)) if !object.value.time_left().is_zero() => true,
-        Ok(Some(_)) => {
+        // An entry that cannot be read tells nothing.
+        Ok(Some(_)) | Err(Error::Bad(_)) => {
             let updated = store.update(S::QUARANTINE, name, stored, standing).await;
             updated.is_ok()
         }
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -19,6 +19,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use super::bad_entries::BadEntries;
 use super::clock;
 use super::feeds::Feeds;
 use super::metrics::{GaugeValues, Metrics};
@@ -126,6 +127,7 @@
     pub(super) incarnation: Incarnation,
     pub(super) asks: Asks<D>,
     pub(super) feeds: Feeds,
+    pub(super) bad_entries: BadEntries,
     /// When the store was last confirmed again after an outage, in microseconds since boot.
     pub(super) regained_at: AtomicU64,
     socket: OnceLock<Arc<UdpSocket>>,
@@ -153,6 +155,7 @@
             incarnation,
             asks: Asks::new(incarnation),
             feeds: Feeds::default(),
+            bad_entries: BadEntries::default(),
             regained_at: AtomicU64::new(0),
             socket: OnceLock::new(),
             roster: Mutex::new(roster),
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -13,14 +13,13 @@
 use catkinusher_core::id::{DataCentreId, UpstreamId};
 use catkinusher_core::roster::Member;
 use catkinusher_core::time::Time;
-use catkinusher_platform::{Error, Event, Object, Store, Version};
+use catkinusher_platform::{Error, Event, Object, Store, Unreadable, Version};
 use serde_json::Value;
 use tokio::sync::Notify;
 use tracing::{info, warn};
 
 use super::clock;
 use super::dialect::{Dialect, StoreSchema};
-use super::feeds::Feeds;
 use super::peers::Feed;
 use super::quarantine;
 use super::state::State;
@@ -172,7 +171,7 @@
         } else {
             store.clone()
         };
-        match poll_store(&store, &mut handler, &state.feeds, poll).await {
+        match poll_store(&state, &store, &mut handler, poll).await {
             Ok(PollResult { next, newest }) => {
                 state.metrics.on_call(handler.kind(), "answered");
                 let failures = store_outage.on_answer();
@@ -281,10 +280,10 @@
     newest: Option<Version>,
 }
 
-async fn poll_store<F, H>(
+async fn poll_store<D, F, H>(
+    state: &State<D>,
     store: &Store<F>,
     handler: &mut H,
-    feeds: &Feeds,
     poll: Poll,
 ) -> Result<PollResult, Error>
 where
@@ -299,9 +298,10 @@
     match version {
         None => {
             let listing = store.list(handler.kind(), "").await?;
+            log_unreadable(state, handler.kind(), &listing.unreadable);
             let (newest, removed) = match H::FEED {
                 Some(feed) => {
-                    let difference = feeds.on_list(feed, &listing, outage);
+                    let difference = state.feeds.on_list(feed, &listing, outage);
                     (difference.newest, difference.removed)
                 }
                 None => (listing.version, Vec::new()),
@@ -325,6 +325,7 @@
                 // The connection of the waiting call may have stalled.
                 () = handler.notifier().notified() => store.watch(handler.kind(), after, MIN_WATCH_TIMEOUT).await?,
             };
+            log_unreadable(state, handler.kind(), &watched.unreadable);
             let events = watched.events.iter().map(|event| {
                 let value = event.value.clone();
                 (
@@ -335,7 +336,7 @@
             let changes = feed::numbered(events.collect(), watched.version, outage);
             let newest = changes.iter().map(|change| change.version).max();
             if let Some(feed) = H::FEED {
-                feeds.on_changes(feed, watched.version, changes);
+                state.feeds.on_changes(feed, watched.version, changes);
             }
             for event in watched.events {
                 handler.on_event(event, outage);
@@ -348,6 +349,12 @@
     }
 }
 
+fn log_unreadable<D>(state: &State<D>, kind: &'static str, unreadable: &[Unreadable]) {
+    for Unreadable { name, reason } in unreadable {
+        state.on_bad_entry(kind, name.as_deref(), reason);
+    }
+}
+
 struct ConfigurationHandler<D, S> {
     state: Arc<State<D>>,
     schema: S,
@@ -444,12 +451,7 @@
         match self.schema.parse_upstream(name, value) {
             Ok(upstream) => Some(upstream),
             Err(fault) => {
-                warn!(
-                    event = "upstream",
-                    upstream = name,
-                    outcome = "bad-entry",
-                    fault
-                );
+                self.state.on_bad_entry(S::UPSTREAMS, Some(name), &fault);
                 None
             }
         }
@@ -592,11 +594,12 @@
     D: Dialect,
     S: StoreSchema,
 {
-    fn parse(name: &str, value: Value) -> Option<Member> {
+    fn parse(&self, name: &str, value: Value) -> Option<Member> {
         match serde_json::from_value(value) {
             Ok(member) => Some(member),
             Err(fault) => {
-                warn!(event = "peers", node = name, outcome = "bad-entry", %fault);
+                self.state
+                    .on_bad_entry(S::NODES, Some(name), &fault.to_string());
                 None
             }
         }
@@ -622,7 +625,7 @@
         let members: BTreeMap<String, Member> = objects
             .into_iter()
             .filter_map(|object| {
-                let member = Self::parse(&object.name, object.value)?;
+                let member = self.parse(&object.name, object.value)?;
                 Some((object.name, member))
             })
             .collect();
@@ -642,9 +645,7 @@
 
     fn on_event(&mut self, event: Event<Value>, _outage: bool) {
         let is_own = event.name == self.state.settings.node.as_str();
-        let member = event
-            .value
-            .and_then(|value| Self::parse(&event.name, value));
+        let member = event.value.and_then(|value| self.parse(&event.name, value));
         if is_own {
             self.state.set_registration(member.as_ref());
         }
@@ -691,7 +692,7 @@
         match (content.map_err(|fault| fault.to_string()), entry) {
             (Ok(content), Ok(entry)) => quarantine::on_stored(&self.state, content, entry),
             (Err(fault), _) | (_, Err(fault)) => {
-                warn!(event = "quarantine", name, outcome = "bad-entry", fault);
+                self.state.on_bad_entry(S::QUARANTINE, Some(name), &fault);
             }
         }
     }
