Try content that crashes cannot tell apart, and release what is answered

Cause: parts with the same crashes were condemned together for an hour, and what is refused is never tried, so that no evidence could clear the sound one. What tells them apart are answers, which each process keeps in memory only.

Ruled out: a quorum or a lost inquiry; the fault needs neither, as after the restart no node had seen the part answered.

Change: content condemned together forms a guilty set. A request that holds some of each set and not all runs as a trial: one at a time in the fleet by a conditional write of a record in the store, sent once, at most two without proof that they were harmless. An answer releases its content on all nodes and in the store, and a crash leaves a smaller set. Why it works: evidence can now undo the decision, and the deadly part is in at most two trials.

Also: an entry written late does not bring back what was released.

--- a/crates/catkinusher-core/src/outcome/refusal.rs
+++ b/crates/catkinusher-core/src/outcome/refusal.rs
@@ -210,6 +210,14 @@
         /// Time until the quarantine ends.
         left: Span,
     },
+    /// Part of the request's content may crash upstreams, and another request shows now whether it does.
+    #[error(
+        "some of this request's content was in requests that made upstreams crash; it is on trial"
+    )]
+    ContentOnTrial {
+        /// Delay after which a retry is useful.
+        after: Span,
+    },
     /// The node is stopping.
     #[error("the node is stopping")]
     ShuttingDown {
@@ -292,6 +300,9 @@
             Self::QuarantinedContent { .. } => {
                 spec("quarantined-content", "Content quarantined", 503, Request)
             }
+            Self::ContentOnTrial { .. } => {
+                spec("content-on-trial", "Content on trial", 503, Request)
+            }
             Self::ShuttingDown { .. } => spec("shutting-down", "Node stopping", 503, Leaving),
             Self::StopLimit { .. } => spec("stop-limit", "Node stopped", 503, Leaving),
             Self::Drained { .. } => spec("drained", "Service drained", 503, Leaving),
@@ -366,6 +377,7 @@
             | Self::StoreAway { after }
             | Self::ClaimLapsed { after }
             | Self::KeyBusy { after }
+            | Self::ContentOnTrial { after }
             | Self::ShuttingDown { after }
             | Self::NoConfiguration { after } => Some(*after),
             Self::QuarantinedContent { left } => Some(*left),
--- a/crates/catkinusher-core/src/poison/detector.rs
+++ b/crates/catkinusher-core/src/poison/detector.rs
@@ -1,14 +1,42 @@
 //! Detection of content that crashes upstreams where no node sees all requests of an upstream.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use super::suspects::{Cleared, CrashReport, Findings, Inquiry, InquiryReply, Suspects};
+use serde::{Deserialize, Serialize};
+
+use super::suspects::{
+    Cleared, CrashReport, Findings, Inquiry, InquiryReply, MIN_CRASHES, Suspects,
+};
 use super::{Policy, Quarantine, QuarantineEntry, Verdict};
 use crate::fingerprint::Fingerprint;
 use crate::id::Incarnation;
 use crate::time::Time;
 use crate::units::Span;
 
+/// Content in quarantine, as nodes tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Condemned {
+    /// Its entry.
+    pub entry: QuarantineEntry,
+    /// The content, this one included, of which at least one crashes upstreams.
+    pub alike: BTreeSet<Fingerprint>,
+}
+
+/// Whether a request with some content may be sent to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Permission {
+    /// It may.
+    Run,
+    /// Only as a trial of this content, which may be sound (see [`TrialRecord`](super::TrialRecord)).
+    Trial(BTreeSet<Fingerprint>),
+    /// It may not until the quarantine ends.
+    Refuse {
+        /// Time until the quarantine ends.
+        left: Span,
+    },
+}
+
 /// Finds by elimination which content of requests crashes upstreams.
 ///
 /// The content of a request is whatever others may have in common with it: each
@@ -22,6 +50,8 @@
 pub struct Detector {
     policy: Policy,
     quarantine: Quarantine,
+    /// For condemned content, the smallest set with it of which one is known to crash upstreams.
+    guilty: BTreeMap<Fingerprint, BTreeSet<Fingerprint>>,
     suspects: Suspects,
     /// What this node itself saw answered.
     cleared: Cleared,
@@ -51,12 +81,78 @@
         content.iter().filter_map(left).max()
     }
 
+    /// Whether a request with this content may run.
+    ///
+    /// It may not if all of a guilty set is in it. If each set has content besides, the request
+    /// may show which it is.
+    #[must_use]
+    pub fn check(&self, content: &[Fingerprint], now: Time) -> Permission {
+        let Some(left) = self.refused_for(content, now) else {
+            return Permission::Run;
+        };
+        let condemned = content.iter().filter(|one| self.is_condemned(**one, now));
+        let condemned: BTreeSet<Fingerprint> = condemned.copied().collect();
+        let holds_cause = |one: &Fingerprint| {
+            self.guilty.get(one).is_none_or(|guilty| {
+                let mut rest = guilty
+                    .iter()
+                    .filter(|other| self.is_condemned(**other, now));
+                rest.all(|other| condemned.contains(other))
+            })
+        };
+        if condemned.iter().any(holds_cause) {
+            Permission::Refuse { left }
+        } else {
+            Permission::Trial(condemned)
+        }
+    }
+
+    /// The record in the store that arbitrates the trials of this content.
+    #[must_use]
+    pub fn trial_record(&self, content: &BTreeSet<Fingerprint>) -> Option<Fingerprint> {
+        let sets = content.iter().filter_map(|one| self.guilty.get(one));
+        sets.filter_map(BTreeSet::first).min().copied()
+    }
+
     /// Records that a request with this content was answered, which clears it.
-    pub fn on_answered(&mut self, content: &[Fingerprint], now: Time) {
+    ///
+    /// Returns what of it was in quarantine and is released.
+    pub fn on_answered(&mut self, content: &[Fingerprint], now: Time) -> Vec<Fingerprint> {
         for one in content {
             self.suspects.remove(*one);
             self.cleared.insert(*one, now);
         }
+        let released = content.iter().filter(|one| self.release(**one));
+        released.copied().collect()
+    }
+
+    /// Takes over that another node saw content answered which was in quarantine, and returns
+    /// what is released here.
+    pub fn on_released(&mut self, content: &[Fingerprint], now: Time) -> Vec<Fingerprint> {
+        for one in content {
+            self.suspects.remove(*one);
+            self.heard.insert(*one, now);
+        }
+        let released = content.iter().filter(|one| self.release(**one));
+        released.copied().collect()
+    }
+
+    /// Records that a trial of this content crashed its upstream, and returns what to tell the others.
+    pub fn on_trial_crashed(
+        &mut self,
+        content: &BTreeSet<Fingerprint>,
+        now: Time,
+    ) -> Vec<Condemned> {
+        let condemned = content.iter().filter_map(|one| {
+            let left = self.refused_for(&[*one], now)?;
+            Some(Condemned {
+                entry: QuarantineEntry::proven(*one, MIN_CRASHES as u32, left),
+                alike: content.clone(),
+            })
+        });
+        let condemned: Vec<_> = condemned.collect();
+        self.on_entries(&condemned, now);
+        condemned
     }
 
     /// The report for a request with this content that broke off unanswered, unless the request is
@@ -97,7 +193,9 @@
         self.cleared.contains(content, now) || self.heard.contains(content, now)
     }
 
-    fn is_condemned(&self, content: Fingerprint, now: Time) -> bool {
+    /// Whether content is in quarantine.
+    #[must_use]
+    pub fn is_condemned(&self, content: Fingerprint, now: Time) -> bool {
         self.refused_for(&[content], now).is_some()
     }
 
@@ -144,32 +242,56 @@
     pub fn poll(&mut self, others: usize, now: Time) -> Findings {
         let suspicion = self.policy.suspicion.get();
         let findings = self.suspects.poll(suspicion, others, now);
-        let condemned = findings.condemned.iter();
-        let entries: Vec<_> = condemned
-            .map(|(content, crashes)| {
-                QuarantineEntry::proven(*content, *crashes, self.policy.quarantine)
-            })
-            .collect();
-        self.quarantine.merge(&entries, now);
+        let left = self.policy.quarantine;
+        let condemned = findings.condemned.iter().map(|finding| Condemned {
+            entry: QuarantineEntry::proven(finding.content, finding.crashes, left),
+            alike: finding.alike.clone(),
+        });
+        let condemned: Vec<_> = condemned.collect();
+        self.merge(&condemned, now);
         findings
     }
 
-    /// Takes over entries that another node or the store has, and returns those that are new.
-    pub fn on_entries(&mut self, entries: &[QuarantineEntry], now: Time) -> Vec<Fingerprint> {
-        let contents = entries.iter().map(|entry| entry.fingerprint);
+    /// Takes over content that another node or the store has condemned, and returns what is new.
+    ///
+    /// What is known to be sound stays free, as the message may be older than the answer.
+    pub fn on_entries(&mut self, condemned: &[Condemned], now: Time) -> Vec<Fingerprint> {
+        let suspected = condemned
+            .iter()
+            .filter(|one| !self.is_cleared(one.entry.fingerprint, now));
+        let suspected: Vec<_> = suspected.cloned().collect();
+        let contents = suspected.iter().map(|one| one.entry.fingerprint);
         let new: Vec<_> = contents
-            .filter(|one| self.refused_for(&[*one], now).is_none())
+            .filter(|one| !self.is_condemned(*one, now))
             .collect();
-        for entry in entries {
-            self.suspects.on_condemned(entry.fingerprint);
+        for one in &suspected {
+            self.suspects.on_condemned(one.entry.fingerprint);
         }
         self.quarantine.on_time(now);
-        self.quarantine.merge(entries, now);
+        self.merge(&suspected, now);
         new
     }
 
+    fn merge(&mut self, condemned: &[Condemned], now: Time) {
+        let entries: Vec<_> = condemned.iter().map(|one| one.entry).collect();
+        self.quarantine.merge(&entries, now);
+        for Condemned { entry, alike } in condemned {
+            let guilty = self
+                .guilty
+                .entry(entry.fingerprint)
+                .or_insert_with(|| alike.clone());
+            // The smaller set says more, whatever the order in which they arrive.
+            if (alike.len(), alike) < (guilty.len(), &*guilty) {
+                guilty.clone_from(alike);
+            }
+        }
+        self.guilty
+            .retain(|content, _| self.quarantine.contains(*content));
+    }
+
     /// Releases content whose entry an operator has removed.
     pub fn release(&mut self, content: Fingerprint) -> bool {
+        self.guilty.remove(&content);
         self.quarantine.remove(content)
     }
 
--- a/crates/catkinusher-core/src/poison/entry.rs
+++ b/crates/catkinusher-core/src/poison/entry.rs
@@ -88,6 +88,14 @@
     }
 }
 
+impl QuarantineEntry {
+    /// The number of whole crashes that it stands for.
+    #[must_use]
+    pub const fn crashes(&self) -> u32 {
+        (self.blamed.0 / CrashScore::ONE_CRASH.0) as u32
+    }
+}
+
 /// A score stored as two sums that only grow and merge by maximum, so that merging converges in
 /// any order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/crates/catkinusher-core/src/poison/mod.rs
+++ b/crates/catkinusher-core/src/poison/mod.rs
@@ -12,6 +12,7 @@
 mod detector;
 mod entry;
 mod suspects;
+mod trial;
 
 use std::collections::BTreeMap;
 use std::hash::Hasher as _;
@@ -20,10 +21,11 @@
 use xxhash_rust::xxh3::Xxh3Default;
 
 pub use self::content::Content;
-pub use self::detector::Detector;
+pub use self::detector::{Condemned, Detector, Permission};
 use self::entry::Entry;
 pub use self::entry::{CrashScore, QuarantineEntry};
-pub use self::suspects::{CrashReport, Findings, INQUIRY_INTERVAL, Inquiry, InquiryReply};
+pub use self::suspects::{CrashReport, Finding, Findings, INQUIRY_INTERVAL, Inquiry, InquiryReply};
+pub use self::trial::{TrialRecord, TrialWatch};
 use crate::fingerprint::Fingerprint;
 use crate::time::Time;
 use crate::units::Span;
@@ -138,6 +140,12 @@
         self.entries.remove(&fingerprint).is_some()
     }
 
+    /// Whether there is an entry.
+    #[must_use]
+    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.entries.contains_key(&fingerprint)
+    }
+
     /// Removes expired entries.
     pub fn on_time(&mut self, now: Time) {
         self.entries.retain(|_, entry| entry.expires_at > now);
--- a/crates/catkinusher-core/src/poison/suspects.rs
+++ b/crates/catkinusher-core/src/poison/suspects.rs
@@ -11,7 +11,7 @@
 use crate::time::Time;
 
 /// The number of crashes from which the nodes are asked whether they know content to be sound.
-const MIN_CRASHES: usize = 3;
+pub(super) const MIN_CRASHES: usize = 3;
 
 /// The number of crashes without the content that raise the number needed by one, as content that
 /// is seldom used may be in a few crashes by chance where there are many.
@@ -107,13 +107,24 @@
     }
 }
 
+/// Content that no node knows to be sound.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// The content.
+    pub content: Fingerprint,
+    /// The number of crashes.
+    pub crashes: u32,
+    /// The parts, this one included, that were in the same crashes; any of them may be the cause.
+    pub alike: BTreeSet<Fingerprint>,
+}
+
 /// What follows from the reports.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Findings {
     /// The question for all nodes, if there is one.
     pub inquiry: Option<Inquiry>,
-    /// Content that no node knows to be sound, with the number of crashes.
-    pub condemned: Vec<(Fingerprint, u32)>,
+    /// Content that no node knows to be sound.
+    pub condemned: Vec<Finding>,
 }
 
 /// The question whether content is known to be sound.
@@ -341,7 +352,17 @@
                     && (suspect.begun, suspect.is_whole) == (first.begun, first.is_whole)
             };
             let alike = self.entries.extract_if(.., |_, suspect| is_like(suspect));
-            condemned.extend(alike.map(|(one, _)| (one, first.crashes.len() as u32)));
+            let alike: BTreeSet<Fingerprint> = alike.map(|(content, _)| content).collect();
+            condemned.extend(alike.iter().map(|content| Finding {
+                content: *content,
+                crashes: first.crashes.len() as u32,
+                // Requests are never told apart by one that holds two of them.
+                alike: if first.is_whole {
+                    BTreeSet::from([*content])
+                } else {
+                    alike.clone()
+                },
+            }));
             self.explain(&first.crashes, first.cause());
         }
         let inquiry = self.next_inquiry(now);
--- a/crates/catkinusher-core/tests/detector.rs
+++ b/crates/catkinusher-core/tests/detector.rs
@@ -5,8 +5,12 @@
 use std::time::Duration;
 
 use catkinusher_core::fingerprint::Fingerprint;
-use catkinusher_core::id::Incarnation;
-use catkinusher_core::poison::{Content, CrashReport, Detector, Policy, QuarantineEntry};
+use catkinusher_core::id::{Incarnation, Serial};
+use catkinusher_core::object::Version;
+use catkinusher_core::poison::{
+    Condemned, Content, CrashReport, Detector, Finding, Permission, Policy, QuarantineEntry,
+    TrialRecord, TrialWatch,
+};
 use catkinusher_core::time::Time;
 use catkinusher_core::units::Span;
 use rand::seq::IndexedRandom;
@@ -47,6 +51,21 @@
     }
 }
 
+fn finding(content: Fingerprint, crashes: u32) -> Finding {
+    Finding {
+        content,
+        crashes,
+        alike: BTreeSet::from([content]),
+    }
+}
+
+fn proven(content: Fingerprint, crashes: u32, left: Span) -> Condemned {
+    Condemned {
+        entry: QuarantineEntry::proven(content, crashes, left),
+        alike: BTreeSet::from([content]),
+    }
+}
+
 fn node(number: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], 1000 + number as u16))
 }
@@ -185,7 +204,7 @@
         .into_iter()
         .flat_map(|at| detector.poll(0, ms(at)).condemned)
         .collect();
-    assert_eq!(condemned, [(dead, 4)]);
+    assert_eq!(condemned, [finding(dead, 4)]);
     assert!(!detector.has_suspected());
 }
 
@@ -208,7 +227,7 @@
         (from..from + 800)
             .step_by(100)
             .flat_map(|at| detector.poll(0, ms(at)).condemned)
-            .map(|(content, _)| content)
+            .map(|finding| finding.content)
             .collect()
     };
     let first = condemned(&mut detector, 900);
@@ -234,7 +253,7 @@
         .step_by(100)
         .flat_map(|at| detector.poll(0, ms(at)).condemned)
         .collect();
-    assert_eq!(condemned, [(dead, 3)]);
+    assert_eq!(condemned, [finding(dead, 3)]);
 }
 
 #[test]
@@ -244,7 +263,7 @@
     for (upstream, at) in [(1, 0), (2, 400), (3, 800)] {
         detector.on_report(&report(upstream, upstream.into(), &[dead, rare]), ms(at));
     }
-    let entry = QuarantineEntry::proven(dead, 3, Span::from_secs(60));
+    let entry = proven(dead, 3, Span::from_secs(60));
     detector.on_entries(&[entry], ms(900));
     assert!(!detector.has_suspected());
 }
@@ -262,8 +281,11 @@
 fn entries_of_other_nodes_are_taken_over_until_they_are_released() {
     let mut detector = Detector::new(Incarnation::new(1), Policy::default());
     let content = [part("a"), part("b")];
-    let entry = QuarantineEntry::proven(content[0], 3, Span::from_secs(60));
-    assert_eq!(detector.on_entries(&[entry], ms(0)), content[..1]);
+    let entry = proven(content[0], 3, Span::from_secs(60));
+    assert_eq!(
+        detector.on_entries(std::slice::from_ref(&entry), ms(0)),
+        content[..1]
+    );
     assert_eq!(detector.on_entries(&[entry], ms(1)), []);
     assert_eq!(
         detector.refused_for(&content, ms(10_001)),
@@ -325,7 +347,7 @@
     running: Vec<Running>,
     next: u64,
     /// The entries in the store, with the step at which all nodes have read them.
-    stored: Vec<(u64, QuarantineEntry)>,
+    stored: Vec<(u64, Condemned)>,
     deadly: BTreeSet<Fingerprint>,
     /// Whether callers repeat requests that broke off.
     repeats: bool,
@@ -427,19 +449,25 @@
         let now = Time::ZERO + STEP * step as u32;
         for (_, entry) in self.stored.extract_if(.., |(at, _)| *at <= step) {
             for node in &mut self.nodes {
-                node.on_entries(&[entry], now);
+                node.on_entries(std::slice::from_ref(&entry), now);
             }
         }
         for collector in COLLECTORS {
             let findings = self.nodes[collector].poll(NODES - 1, now);
-            let mut entries: Vec<QuarantineEntry> = Vec::new();
-            for (content, crashes) in findings.condemned {
-                self.counts.condemned.insert(content);
+            let mut entries: Vec<Condemned> = Vec::new();
+            for finding in findings.condemned {
+                self.counts.condemned.insert(finding.content);
                 let left = Span::from_secs(3600);
-                entries.push(QuarantineEntry::proven(content, crashes, left));
+                entries.push(Condemned {
+                    entry: QuarantineEntry::proven(finding.content, finding.crashes, left),
+                    alike: finding.alike,
+                });
             }
-            self.stored
-                .extend(entries.iter().map(|entry| (step + READ_STEPS, *entry)));
+            self.stored.extend(
+                entries
+                    .iter()
+                    .map(|entry| (step + READ_STEPS, entry.clone())),
+            );
             for other in 0..NODES {
                 if let Some(inquiry) = &findings.inquiry
                     && self.arrives()
@@ -571,3 +599,87 @@
         assert!(detector.poll(10, ms(now)).condemned.is_empty());
     }
 }
+
+/// A detector that has condemned these parts together.
+fn condemned_together(parts: &[Fingerprint]) -> Detector {
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
+    for (upstream, at) in [(1, 0), (2, 400), (3, 800)] {
+        detector.on_report(&report(upstream, upstream.into(), parts), ms(at));
+    }
+    for at in (800..2000).step_by(100) {
+        detector.poll(0, ms(at));
+    }
+    assert!(
+        parts
+            .iter()
+            .all(|one| detector.is_condemned(*one, ms(2000)))
+    );
+    detector
+}
+
+fn refuses(detector: &Detector, content: &[Fingerprint]) -> bool {
+    matches!(detector.check(content, ms(2000)), Permission::Refuse { .. })
+}
+
+#[test]
+fn only_a_request_that_can_tell_condemned_parts_apart_is_a_trial() {
+    // Sound parts that were only seen beside a deadly one stayed refused for an hour (LOST).
+    let [rare, other, dead] = ["rare", "other", "dead"].map(part);
+    let mut detector = condemned_together(&[rare, other, dead]);
+    assert!(refuses(&detector, &[rare, other, dead]));
+    assert_eq!(detector.check(&[part("free")], ms(2000)), Permission::Run);
+    let both = BTreeSet::from([rare, other]);
+    let trial = detector.check(&[rare, other, part("free")], ms(2000));
+    assert_eq!(trial, Permission::Trial(both.clone()));
+    // A crash shows that one of the two is deadly, so that only each alone can tell more.
+    let told = detector.on_trial_crashed(&both, ms(2000));
+    assert!(refuses(&detector, &[rare, other]));
+    let alone = detector.check(&[rare], ms(2000));
+    assert_eq!(alone, Permission::Trial(BTreeSet::from([rare])));
+    // Older news does not undo that, and an answer frees at once.
+    let mut peer = condemned_together(&[rare, other, dead]);
+    peer.on_entries(&told, ms(2000));
+    peer.on_entries(&[proven(part("x"), 3, Span::from_secs(60))], ms(2000));
+    assert!(refuses(&peer, &[rare, other]));
+    assert_eq!(detector.on_answered(&[rare], ms(2000)), [rare]);
+    assert_eq!(detector.check(&[rare], ms(2000)), Permission::Run);
+    assert!(refuses(&detector, &[other]), "it alone is left of the two");
+    assert_eq!(peer.on_released(&[rare], ms(2000)), [rare]);
+    assert_eq!(
+        peer.on_entries(&told, ms(2001)),
+        [],
+        "the news is older than the answer"
+    );
+    assert_eq!(peer.check(&[rare], ms(2001)), Permission::Run);
+}
+
+#[test]
+fn one_trial_runs_at_a_time_and_few_that_prove_nothing() {
+    let name = part("record");
+    let serial = |number| Serial::new(Incarnation::new(7), number);
+    let version = Version::new;
+    let mut watch = TrialWatch::default();
+    assert!(watch.is_due(name, ms(0)));
+    assert!(
+        !watch.is_due(name, ms(100)),
+        "each attempt is a call of the store"
+    );
+    let first = TrialRecord::default().begin(serial(1));
+    assert!(!watch.may_begin(name, &first, version(5), ms(300)));
+    assert!(!watch.may_begin(name, &first, version(5), ms(4200)));
+    assert!(
+        watch.may_begin(name, &first, version(5), ms(4300)),
+        "the node of the first trial has ended"
+    );
+    let second = first.begin(serial(2));
+    assert!(!watch.may_begin(name, &second, version(6), ms(9000)));
+    assert!(
+        watch.is_exhausted(name),
+        "two trials may have crashed an upstream"
+    );
+    // The first was slow, and is sound after all.
+    let third = second.end(serial(1), true);
+    assert_eq!((third.unproven, third.running), (1, Some(serial(2))));
+    let fourth = third.end(serial(2), false);
+    assert!(watch.may_begin(name, &fourth, version(8), ms(9100)));
+}
--- a/crates/catkinusher-core/tests/refusals.rs
+++ b/crates/catkinusher-core/tests/refusals.rs
@@ -72,6 +72,7 @@
         Refusal::QuarantinedContent {
             left: Span::from_secs(60),
         },
+        Refusal::ContentOnTrial { after },
         Refusal::ShuttingDown { after },
         Refusal::StopLimit { outcome },
         Refusal::Drained { service: service() },
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -194,7 +194,7 @@
             if self.time_left() < MIN_ATTEMPT_TIME {
                 return Err(self.deadline_refusal());
             }
-            self.check_quarantine()?;
+            self.wait_for_permission().await?;
             let Placed {
                 placement,
                 address,
@@ -299,7 +299,7 @@
         // A stop of this node is no reason for the upstream to end its work before the caller's deadline.
         let timeout = self.deadline.since(self.state.now());
         let request = self.build_request(upstream, timeout, &helpers, resume);
-        self.history.on_evidence(Evidence::Leaving);
+        self.on_evidence(Evidence::Leaving);
         let first = self.sent_to.insert(upstream.clone());
         self.sends += 1;
         let response_timeout = self.response_timeout();
@@ -318,7 +318,7 @@
                 let unsent = fault.take_message().is_some();
                 let detail = fault.into_error().to_string();
                 if unsent {
-                    self.history.on_evidence(Evidence::Unsent);
+                    self.on_evidence(Evidence::Unsent);
                     self.sends -= 1;
                     if first {
                         self.sent_to.remove(upstream);
@@ -340,7 +340,7 @@
         }
         match class {
             ResponseClass::Answer => {
-                self.history.on_evidence(Evidence::Answered);
+                self.on_evidence(Evidence::Answered);
                 self.state.metrics.on_call("upstream", "answered");
                 self.enter(Stage::Answer);
                 Ok(ActiveAttempt {
@@ -352,12 +352,12 @@
                 })
             }
             ResponseClass::NotRun(failed) => {
-                self.history.on_evidence(Evidence::Refused);
+                self.on_evidence(Evidence::Refused);
                 let failed = failed.and_then(|failed| self.state.failed_upstream(&failed));
                 Err(AttemptError::Refused(failed.filter(|id| id != upstream)))
             }
             ResponseClass::Moved => {
-                self.history.on_evidence(Evidence::Refused);
+                self.on_evidence(Evidence::Refused);
                 Err(AttemptError::Moved)
             }
             ResponseClass::Mismatched => {
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -177,6 +177,9 @@
     /// The kind of the objects that name quarantined content.
     const QUARANTINE: &'static str;
 
+    /// The kind of the objects that arbitrate trials of quarantined content.
+    const TRIALS: &'static str;
+
     /// Parses the configuration.
     ///
     /// # Errors
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -25,6 +25,7 @@
 use super::open::{OpenRequest, Stage};
 use super::relay;
 use super::state::State;
+use super::trials::Trial;
 use crate::forward::plain::headers::strip_hop_headers;
 
 /// The retry delay given to callers while this node has no current configuration; another node may have one.
@@ -68,6 +69,8 @@
     pub(super) avoid: Vec<UpstreamId>,
     /// The fingerprints of what other requests may have in common with it.
     pub(super) content: Vec<Fingerprint>,
+    /// The trial that it is of content which may crash upstreams.
+    pub(super) trial: Option<Trial<D>>,
     pub(super) open: OpenRequest,
 }
 
@@ -214,6 +217,7 @@
         sends: 0,
         avoid: Vec::new(),
         content: Vec::new(),
+        trial: None,
         open: state.open_requests.begin(&ask.id, received),
         body: Bytes::new(),
         state: Arc::clone(state),
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod reserve;
 mod state;
 mod stop;
+mod trials;
 mod watch;
 
 pub use self::dialect::{
--- a/crates/catkinusherd/src/gateway/peers/message.rs
+++ b/crates/catkinusherd/src/gateway/peers/message.rs
@@ -7,11 +7,12 @@
 
 use catkinusher_core::confirm::ConfirmReply;
 use catkinusher_core::feed::Batch;
+use catkinusher_core::fingerprint::Fingerprint;
 use catkinusher_core::fleet::{Cell, LimitReport, Load, Pressure};
 use catkinusher_core::id::{DataCentreId, Incarnation, Serial, ServiceId};
 use catkinusher_core::object::Version;
 use catkinusher_core::placer::{Answer, Ask};
-use catkinusher_core::poison::{CrashReport, Inquiry, InquiryReply, QuarantineEntry};
+use catkinusher_core::poison::{Condemned, CrashReport, Inquiry, InquiryReply};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::net::UdpSocket;
@@ -164,7 +165,10 @@
     InquiryReply(InquiryReply),
     /// Content that crashes upstreams.
     #[serde(rename = "x")]
-    Quarantined(Vec<QuarantineEntry>),
+    Quarantined(Vec<Condemned>),
+    /// Content that was in quarantine and has been answered.
+    #[serde(rename = "f")]
+    Released(Vec<Fingerprint>),
 }
 
 impl Message {
--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -188,6 +188,7 @@
             }
             Ok(Message::InquiryReply(reply)) => quarantine::on_reply(&state, &reply, from),
             Ok(Message::Quarantined(entries)) => quarantine::on_entries(&state, &entries),
+            Ok(Message::Released(content)) => quarantine::on_released(&state, &content),
             Ok(Message::Pressure(service, data_centre, pressure)) => {
                 let cell = Cell {
                     service,
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -5,6 +5,7 @@
 //! about suspected content, and keeps what was condemned in the store, so that it
 //! outlasts every process.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -14,9 +15,10 @@
 use catkinusher_core::fleet::Fleet;
 use catkinusher_core::id::{PartId, UpstreamId};
 use catkinusher_core::object::Version;
-use catkinusher_core::outcome::Refusal;
+use catkinusher_core::outcome::{Evidence, Outcome, Refusal};
 use catkinusher_core::poison::{
-    Content, CrashReport, Findings, INQUIRY_INTERVAL, Inquiry, InquiryReply, QuarantineEntry,
+    Condemned, Content, CrashReport, Finding, Findings, INQUIRY_INTERVAL, Inquiry, InquiryReply,
+    Permission, QuarantineEntry,
 };
 use catkinusher_core::rendezvous::Salt;
 use catkinusher_core::units::Span;
@@ -30,6 +32,7 @@
 use super::handle::Job;
 use super::peers::{self, Message};
 use super::state::State;
+use super::trials::{self, NoTrial, Order};
 
 const SALT: Salt = Salt::new(0x706f_6973);
 
@@ -48,22 +51,55 @@
 /// The time between two announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The retry delay given to callers whose content is on trial, which mostly takes as long as an
+/// upstream needs for two events.
+const TRIAL_RETRY_AFTER: Span = Span::from_millis(500);
+
 /// How often expired entries are removed from the store.
 const CLEAN_PERIOD: Duration = Duration::from_mins(10);
 
 /// The quarantine of some content, as the store keeps it under the content's fingerprint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct StoredEntry {
     /// The number of crashes that led to it.
     crashes: u32,
     /// When it ends, in Unix milliseconds, as each process has its own clock of elapsed time.
     until_ms: u64,
+    /// The content, this one included, of which at least one crashes upstreams; empty if there is
+    /// no other.
+    #[serde(default)]
+    alike: BTreeSet<Fingerprint>,
 }
 
 impl StoredEntry {
+    fn new(condemned: Condemned) -> Self {
+        let until_ms = unix_millis() + condemned.entry.life.get().as_millis() as u64;
+        Self {
+            crashes: condemned.entry.crashes(),
+            until_ms,
+            alike: condemned.alike,
+        }
+    }
+
     fn time_left(&self) -> Duration {
         Duration::from_millis(self.until_ms.saturating_sub(unix_millis()))
     }
+
+    /// Whether it tells no less than another one of the same content.
+    fn covers(&self, other: &Self) -> bool {
+        let is_as_exact = !self.alike.is_empty() && self.alike.len() <= other.alike.len();
+        !self.time_left().is_zero() && (is_as_exact || self.alike.is_empty())
+    }
+
+    fn condemned(&self, content: Fingerprint) -> Condemned {
+        let left = Span::new(self.time_left());
+        let mut alike = self.alike.clone();
+        alike.insert(content);
+        Condemned {
+            entry: QuarantineEntry::proven(content, self.crashes, left),
+            alike,
+        }
+    }
 }
 
 fn unix_millis() -> u64 {
@@ -106,25 +142,102 @@
         self.content = content.fingerprints();
     }
 
-    /// Refuses the request if any of its content crashes upstreams.
+    /// Refuses the request if any of its content crashes upstreams, and makes it a trial if
+    /// that is not certain.
+    ///
+    /// # Errors
+    ///
+    /// The refusal.
+    pub(super) async fn wait_for_permission(&mut self) -> Result<(), Refusal> {
+        let now = self.state.now();
+        let permission = self.state.detector().check(&self.content, now);
+        let Permission::Trial(content) = permission else {
+            return self.check_quarantine();
+        };
+        if let Some(trial) = &self.trial {
+            return if trial.covers(&content) {
+                Ok(())
+            } else {
+                Err(self.trial_refusal())
+            };
+        }
+        match self.state.begin_trial(content).await {
+            Ok(trial) => {
+                self.trial = Some(trial);
+                Ok(())
+            }
+            Err(NoTrial::Busy) => Err(self.trial_refusal()),
+            Err(NoTrial::Exhausted) => {
+                let now = self.state.now();
+                let left = self.state.detector().refused_for(&self.content, now);
+                Err(self.quarantine_refusal(left.unwrap_or(TRIAL_RETRY_AFTER)))
+            }
+        }
+    }
+
+    /// Refuses the request if any of its content crashes upstreams, unless it is a trial.
     ///
     /// # Errors
     ///
     /// The refusal.
     pub(super) fn check_quarantine(&self) -> Result<(), Refusal> {
         let now = self.state.now();
-        match self.state.detector().refused_for(&self.content, now) {
-            Some(left) => Err(self
-                .history
-                .refusal_after_attempts(Refusal::QuarantinedContent { left })),
-            None => Ok(()),
+        match self.state.detector().check(&self.content, now) {
+            Permission::Run => Ok(()),
+            Permission::Trial(content) => match &self.trial {
+                Some(trial) if trial.covers(&content) => Ok(()),
+                _ => Err(self.trial_refusal()),
+            },
+            Permission::Refuse { left } => Err(self.quarantine_refusal(left)),
+        }
+    }
+
+    fn quarantine_refusal(&self, left: Span) -> Refusal {
+        let refusal = Refusal::QuarantinedContent { left };
+        self.history.refusal_after_attempts(refusal)
+    }
+
+    fn trial_refusal(&self) -> Refusal {
+        let after = TRIAL_RETRY_AFTER;
+        let refusal = Refusal::ContentOnTrial { after };
+        self.history.refusal_after_attempts(refusal)
+    }
+
+    /// Records what was observed of an attempt.
+    pub(super) fn on_evidence(&mut self, evidence: Evidence) {
+        self.history.on_evidence(evidence);
+        if let Some(trial) = &self.trial {
+            trial.set_harmless(self.history.outcome() == Outcome::NotRun);
         }
     }
 
     /// Records that an upstream has answered the request without a crash.
     pub(super) fn on_answered(&self) {
         let now = self.state.now();
-        self.state.detector().on_answered(&self.content, now);
+        let released = self.state.detector().on_answered(&self.content, now);
+        if !released.is_empty() {
+            self.state.trials.order(Order::Release(released));
+        }
+        if let Some(trial) = &self.trial {
+            trial.set_harmless(true);
+            trial.end();
+        }
+    }
+
+    /// Ends a trial whose upstream has broken the request off.
+    fn on_trial_broken_off(&self, begun: bool) {
+        let Some(trial) = &self.trial else {
+            return;
+        };
+        // An upstream that had not begun to answer may have crashed for another request.
+        if begun {
+            let now = self.state.now();
+            let mut detector = self.state.detector();
+            let condemned = detector.on_trial_crashed(trial.content(), now);
+            drop(detector);
+            self.state.trials.order(Order::Crashed(condemned));
+        }
+        trial.end();
     }
 
     /// Reports that the connection to an upstream broke before the request was answered on it,
@@ -144,7 +257,9 @@
             begun,
             parts = ?self.ask.shared_parts.iter().map(PartId::as_str).collect::<Vec<_>>(),
             unknown = report.as_ref().map_or(0, |report| report.parts.len()),
+            trial = self.trial.is_some(),
         );
+        self.on_trial_broken_off(begun);
         let (Some(report), Some(socket)) = (report, self.state.socket()) else {
             return;
         };
@@ -188,7 +303,7 @@
 }
 
 /// Takes over entries of another node or of the store.
-pub(super) fn on_entries<D>(state: &State<D>, entries: &[QuarantineEntry]) {
+pub(super) fn on_entries<D>(state: &State<D>, entries: &[Condemned]) {
     let now = state.now();
     let new = state.detector().on_entries(entries, now);
     for content in new {
@@ -197,13 +312,19 @@
 }
 
 /// Takes over an entry of the store; expired ones count as removed.
-pub(super) fn on_stored<D>(state: &State<D>, content: Fingerprint, stored: StoredEntry) {
-    let left = stored.time_left();
-    if left.is_zero() {
-        return;
+pub(super) fn on_stored<D>(state: &State<D>, content: Fingerprint, stored: &StoredEntry) {
+    if !stored.time_left().is_zero() {
+        on_entries(state, &[stored.condemned(content)]);
+    }
+}
+
+/// Takes over that another node saw content answered.
+pub(super) fn on_released<D>(state: &State<D>, content: &[Fingerprint]) {
+    let now = state.now();
+    let released = state.detector().on_released(content, now);
+    for content in released {
+        info!(event = "quarantine", %content, outcome = "released");
     }
-    let entry = QuarantineEntry::proven(content, stored.crashes, Span::new(left));
-    on_entries(state, &[entry]);
 }
 
 /// Releases content whose entry was removed from the store.
@@ -228,6 +349,7 @@
         Arc::clone(state),
         store.at(Priority::Status),
     ));
+    trials::start::<D, S>(state, &store.at(Priority::Status), socket);
 }
 
 /// Asks all nodes about suspected content, and condemns what none of them knows to be sound.
@@ -246,51 +368,96 @@
                 info!(event = "quarantine", content = ?names(&inquiry.content), outcome = "suspected");
                 state.broadcast(&socket, &Message::Inquiry(inquiry));
             }
-            for (content, crashes) in condemned {
-                info!(event = "quarantine", %content, crashes, outcome = "condemned");
-                let time = state.detector().quarantine_time();
-                let until_ms = unix_millis() + time.get().as_millis() as u64;
-                let stored = StoredEntry { crashes, until_ms };
-                tokio::spawn(announce(
-                    Arc::clone(&state),
-                    Arc::clone(&socket),
-                    content,
-                    stored,
-                ));
-                tokio::spawn(keep::<D, S>(
-                    Arc::clone(&state),
-                    store.clone(),
+            let life = state.detector().quarantine_time();
+            for finding in condemned {
+                let Finding {
                     content,
-                    stored,
-                ));
+                    crashes,
+                    alike,
+                } = finding;
+                info!(event = "quarantine", %content, crashes, alike = alike.len(), outcome = "condemned");
+                let entry = QuarantineEntry::proven(content, crashes, life);
+                publish::<D, S>(&state, &store, &socket, Condemned { entry, alike });
             }
             state.timers.after(INQUIRY_INTERVAL).await;
         }
     }
 }
 
-fn names(content: &[Fingerprint]) -> Vec<String> {
-    content.iter().map(Fingerprint::to_string).collect()
+pub(super) fn names<'a, I>(content: I) -> Vec<String>
+where
+    I: IntoIterator<Item = &'a Fingerprint>,
+{
+    content.into_iter().map(Fingerprint::to_string).collect()
 }
 
-/// Tells all nodes about an entry, more than once, as datagrams may be lost.
-async fn announce<D>(
-    state: Arc<State<D>>,
-    socket: Arc<UdpSocket>,
-    content: Fingerprint,
-    stored: StoredEntry,
+/// Tells all nodes and the store that content is condemned, unless it is released meanwhile.
+pub(super) fn publish<D, S>(
+    state: &Arc<State<D>>,
+    store: &Store<S::Form>,
+    socket: &Arc<UdpSocket>,
+    condemned: Condemned,
+) where
+    D: Dialect,
+    S: StoreSchema,
+{
+    let content = condemned.entry.fingerprint;
+    let message = Message::Quarantined(vec![condemned.clone()]);
+    let stored = StoredEntry::new(condemned);
+    tokio::spawn({
+        let (state, socket) = (Arc::clone(state), Arc::clone(socket));
+        async move {
+            let is_condemned = || state.detector().is_condemned(content, state.now());
+            repeat(&state, &socket, &message, is_condemned).await;
+        }
+    });
+    tokio::spawn(keep::<D, S>(
+        Arc::clone(state),
+        store.clone(),
+        content,
+        stored,
+    ));
+}
+
+/// Tells all nodes something more than once, as datagrams may be lost, while it holds.
+pub(super) async fn repeat<D, F>(
+    state: &State<D>,
+    socket: &UdpSocket,
+    message: &Message,
+    is_valid: F,
 ) where
     D: Dialect,
+    F: Fn() -> bool,
 {
     for _ in 0..ANNOUNCEMENTS {
-        let left = Span::new(stored.time_left());
-        let entry = QuarantineEntry::proven(content, stored.crashes, left);
-        state.broadcast(&socket, &Message::Quarantined(vec![entry]));
+        if !is_valid() {
+            return;
+        }
+        state.broadcast(socket, message);
         state.timers.after(ANNOUNCE_INTERVAL).await;
     }
 }
 
-/// Writes an entry to the store, and repeats that until the store has it.
+/// Removes released content from the store, and repeats that until the store has done it.
+pub(super) async fn remove<D, S>(state: &State<D>, store: &Store<S::Form>, content: &[Fingerprint])
+where
+    D: Dialect,
+    S: StoreSchema,
+{
+    for one in content {
+        let mut failures = 0;
+        while let Err(error) = store.delete(S::QUARANTINE, &one.to_string(), None).await {
+            if failures == 0 {
+                warn!(event = "quarantine", content = %one, outcome = "not-removed", %error);
+            }
+            let pause = RETRY_PAUSE * (1 << failures.min(MAX_DOUBLINGS));
+            failures += 1;
+            state.timers.after(pause).await;
+        }
+    }
+}
+
+/// Writes an entry to the store, and repeats that until the store has it or it is released.
 async fn keep<D, S>(
     state: Arc<State<D>>,
     store: Store<S::Form>,
@@ -301,11 +468,11 @@
 {
     let name = content.to_string();
     let mut failures = 0;
-    while !stored.time_left().is_zero() {
+    while state.detector().is_condemned(content, state.now()) {
         match store.create(S::QUARANTINE, &name, &stored).await {
             Ok(_) => return,
             Err(Error::Conflict { standing }) => {
-                if replace_expired::<S>(&store, &name, &stored, standing).await {
+                if replace_outdated::<S>(&store, &name, &stored, standing).await {
                     return;
                 }
                 state.timers.after(RETRY_PAUSE).await;
@@ -322,8 +489,9 @@
     }
 }
 
-/// Replaces an entry of the store that has expired, and returns whether the store has a valid one.
-async fn replace_expired<S>(
+/// Replaces an entry of the store that has expired or tells less, and returns whether the store
+/// has a valid one.
+async fn replace_outdated<S>(
     store: &Store<S::Form>,
     name: &str,
     stored: &StoredEntry,
@@ -334,7 +502,7 @@
 {
     match store.get::<StoredEntry>(S::QUARANTINE, name).await {
         // Another node that collects reports was first.
-        Ok(Some(object)) if !object.value.time_left().is_zero() => true,
+        Ok(Some(object)) if object.value.covers(stored) => true,
         // An entry that cannot be read tells nothing.
         Ok(Some(_)) | Err(Error::Bad(_)) => {
             let updated = store.update(S::QUARANTINE, name, stored, standing).await;
@@ -363,6 +531,14 @@
             }
         };
         for object in listing.objects {
+            if object.value.time_left().is_zero()
+                && let Err(error) = store.delete(S::TRIALS, &object.name, None).await
+            {
+                debug!(
+                    "quarantine: cannot remove the trials of `{}`: {error}",
+                    object.name
+                );
+            }
             if object.value.time_left().is_zero()
                 && let Err(error) = store
                     .delete(S::QUARANTINE, &object.name, Some(object.version))
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -27,6 +27,7 @@
 use super::placing::Asks;
 use super::pool::Pool;
 use super::settings::Settings;
+use super::trials::Trials;
 use crate::timer::{Clock, Timers};
 
 const SALT: Salt = Salt::new(0x7065_6572);
@@ -128,6 +129,7 @@
     pub(super) asks: Asks<D>,
     pub(super) feeds: Feeds,
     pub(super) bad_entries: BadEntries,
+    pub(super) trials: Trials,
     /// When the store was last confirmed again after an outage, in microseconds since boot.
     pub(super) regained_at: AtomicU64,
     socket: OnceLock<Arc<UdpSocket>>,
@@ -156,6 +158,7 @@
             asks: Asks::new(incarnation),
             feeds: Feeds::default(),
             bad_entries: BadEntries::default(),
+            trials: Trials::default(),
             regained_at: AtomicU64::new(0),
             socket: OnceLock::new(),
             roster: Mutex::new(roster),
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -690,7 +690,7 @@
         let entry = serde_json::from_value(value).map_err(|fault| fault.to_string());
         let content = name.parse::<Fingerprint>();
         match (content.map_err(|fault| fault.to_string()), entry) {
-            (Ok(content), Ok(entry)) => quarantine::on_stored(&self.state, content, entry),
+            (Ok(content), Ok(entry)) => quarantine::on_stored(&self.state, content, &entry),
             (Err(fault), _) | (_, Err(fault)) => {
                 self.state.on_bad_entry(S::QUARANTINE, Some(name), &fault);
             }
