Take over manifests with values of any size, and each usable part of them

What callers saw: a manifest dropped a route and gave a tenant the rank 1000.

Cause: ranks were read as 0 to 255, so the whole manifest could not be parsed; the old revision stayed, its trust ended, and with it all service.

Ruled out: a lost watch or read; the log has `configuration` `bad` on each node within the bound.

Evidence, failing on: the gateway test waited in vain for the dropped route's 404, and the table of values stopped at the first, `invalid value: integer 1000, expected u8`.

Each route, service, engine and tenant is read by itself; an unusable route refuses its requests with 503. Why it works: no value that a valid manifest may hold keeps the rest of it from coming into force.

--- a/crates/catkinusher-core/src/directory/mod.rs
+++ b/crates/catkinusher-core/src/directory/mod.rs
@@ -5,6 +5,9 @@
 //! once per revision and is immutable afterwards.
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::num::ParseFloatError;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,6 +44,35 @@
     },
 }
 
+/// The position of requests in the order of service; lower ranks go first.
+///
+/// Only the order of ranks matters, and operators may use any numbers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Rank(f64);
+
+impl Rank {
+    /// Creates a rank from its number.
+    #[must_use]
+    pub const fn new(number: f64) -> Self {
+        Self(number)
+    }
+}
+
+impl fmt::Display for Rank {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Rank {
+    type Err = ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
 /// A rule that maps a host and path prefix to services.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
@@ -58,13 +90,13 @@
     pub timeout: Duration,
     /// The latency objective.
     pub objective: Duration,
-    /// The priority of its requests; lower values go first.
-    pub priority: u8,
+    /// The priority of its requests.
+    pub priority: Rank,
     /// The maximum number of upstreams that one request may be sent to.
     pub attempts: u32,
     /// Whether it is served without an API key.
     pub public: bool,
-    /// The services with their weights.
+    /// The services with their weights; if there is none, requests are refused until there is one.
     pub split: Vec<(ServiceId, f64)>,
 }
 
@@ -122,12 +154,12 @@
 }
 
 /// A customer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Customer {
     /// The name that is passed to upstreams.
     pub name: CustomerId,
     /// The priority of its requests, which overrides that of the route.
-    pub priority: Option<u8>,
+    pub priority: Option<Rank>,
 }
 
 /// The limits on what callers may send.
@@ -168,6 +200,7 @@
     keys: HashMap<String, Arc<Customer>>,
     keys_required: bool,
     limits: Limits,
+    faults: Vec<String>,
 }
 
 impl Directory {
@@ -207,9 +240,23 @@
             keys,
             keys_required,
             limits,
+            faults: Vec::new(),
         }
     }
 
+    /// Adds what is wrong with parts of the configuration that could not be used.
+    #[must_use]
+    pub fn with_faults(mut self, faults: Vec<String>) -> Self {
+        self.faults = faults;
+        self
+    }
+
+    /// What is wrong with parts of the configuration; the rest of it is in force.
+    #[must_use]
+    pub fn faults(&self) -> &[String] {
+        &self.faults
+    }
+
     /// The revision, which increases with each change.
     #[must_use]
     pub const fn revision(&self) -> u64 {
--- a/crates/catkinusher-core/src/id/mod.rs
+++ b/crates/catkinusher-core/src/id/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! Each kind of identifier is a distinct type, so that a customer cannot be
 //! passed where a service is expected.
+//!
+//! Names that are declared with us stay simple, as they stand on command lines and in paths.
+//! Services and customers may also be declared elsewhere, by rules that are not ours, so
+//! their names are deserialized as they are.
 
 use std::borrow::Borrow;
 use std::fmt;
@@ -11,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// The maximum length of a name, in bytes.
+/// The maximum length of a declared name, in bytes.
 pub const NAME_LIMIT: usize = 128;
 
 /// The error for a string that is not a valid name.
@@ -28,10 +32,20 @@
     BadCharacter,
 }
 
+/// Checks a name that was declared elsewhere: it has to fit into one line.
 fn check(text: &str) -> Result<(), ParseIdError> {
     if text.is_empty() {
         return Err(ParseIdError::Empty);
     }
+    if text.chars().any(char::is_control) {
+        return Err(ParseIdError::BadCharacter);
+    }
+    Ok(())
+}
+
+/// Checks a name that is declared with us.
+fn check_declared(text: &str) -> Result<(), ParseIdError> {
+    check(text)?;
     if text.len() > NAME_LIMIT {
         return Err(ParseIdError::TooLong);
     }
@@ -46,6 +60,9 @@
 
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident) => {
+        name! { $(#[$doc])* $name, check_declared }
+    };
+    ($(#[$doc:meta])* $name:ident, $check:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -63,7 +80,7 @@
             type Err = ParseIdError;
 
             fn from_str(text: &str) -> Result<Self, Self::Err> {
-                check(text)?;
+                check_declared(text)?;
                 Ok(Self(text.into()))
             }
         }
@@ -72,7 +89,8 @@
             type Error = ParseIdError;
 
             fn try_from(text: String) -> Result<Self, Self::Error> {
-                text.parse()
+                $check(&text)?;
+                Ok(Self(text.into()))
             }
         }
 
@@ -116,7 +134,7 @@
 }
 name! {
     /// A service that callers address: a language model deployment or a plain application.
-    ServiceId
+    ServiceId, check
 }
 name! {
     /// One server of a service.
@@ -124,7 +142,7 @@
 }
 name! {
     /// A customer, identified by the bearer key that callers present.
-    CustomerId
+    CustomerId, check
 }
 name! {
     /// A model that engines load.
--- a/crates/catkinusher-core/src/toml_check/expect.rs
+++ b/crates/catkinusher-core/src/toml_check/expect.rs
@@ -11,6 +11,11 @@
 pub trait Expect {
     /// What is expected, to follow the word.
     const EXPECTED: &'static str;
+
+    /// Whether a value that could be read may stand in a document of ours.
+    fn is_expected(&self) -> bool {
+        true
+    }
 }
 
 macro_rules! expect {
@@ -32,12 +37,24 @@
     Bytes => "a count of bytes, such as 65536, \"64KiB\" or \"8MiB\"",
     Rate => "a number a second, such as 200",
     Span => "a span of time in quotes, such as \"250ms\", \"5s\", \"2min\" or \"1h\"",
-    CustomerId => "a name in quotes, without white space or slash",
     DataCentreId => "a name in quotes, without white space or slash",
     ModelId => "a name in quotes, without white space or slash",
     RegionId => "a name in quotes, without white space or slash",
     RequestId => "a name in quotes, without white space or slash",
-    ServiceId => "a name in quotes, without white space or slash",
     UpstreamId => "a name in quotes, without white space or slash",
     VmId => "a name in quotes, without white space or slash",
 }
+
+macro_rules! expect_declared {
+    ($($type:ty),*) => {
+        $(impl Expect for $type {
+            const EXPECTED: &'static str = "a name in quotes, without white space or slash";
+
+            fn is_expected(&self) -> bool {
+                self.as_str().parse::<Self>().is_ok()
+            }
+        })*
+    };
+}
+
+expect_declared!(CustomerId, ServiceId);
--- a/crates/catkinusher-core/src/toml_check/section.rs
+++ b/crates/catkinusher-core/src/toml_check/section.rs
@@ -232,12 +232,12 @@
         T: DeserializeOwned + Expect,
     {
         match T::deserialize(ValueDeserializer::from(value.clone())) {
-            Ok(decoded) => Some(Entry {
+            Ok(decoded) if decoded.is_expected() => Some(Entry {
                 value: decoded,
                 line: self.line_of(value.span()),
                 key,
             }),
-            Err(_other) => {
+            Ok(_) | Err(_) => {
                 self.wrong(key, value, T::EXPECTED);
                 None
             }
--- a/crates/catkinusher-core/tests/directory.rs
+++ b/crates/catkinusher-core/tests/directory.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use catkinusher_core::directory::{Customer, Delivery, Directory, Limits, Repeat, Route, Service};
+use catkinusher_core::directory::{
+    Customer, Delivery, Directory, Limits, Rank, Repeat, Route, Service,
+};
 use catkinusher_core::freshness::Freshness;
 use catkinusher_core::time::Time;
 use rand::SeedableRng;
@@ -17,7 +19,7 @@
         delivery: Delivery::Whole,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(300),
-        priority: 1,
+        priority: Rank::new(1.0),
         attempts: 2,
         public: false,
         split: split
@@ -39,7 +41,7 @@
     });
     let customer = Customer {
         name: "gent-fair".parse().unwrap(),
-        priority: Some(1),
+        priority: Some(Rank::new(1.0)),
     };
     let keys = vec!["k1".to_owned(), "k2".to_owned()];
     Directory::new(
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -198,7 +198,7 @@
     };
     let service = route
         .pick_service(&mut rand::rng())
-        .ok_or_else(|| fail(Refusal::UnknownRoute))?
+        .ok_or_else(|| fail(no_configuration()))?
         .clone();
     let time = ask
         .patience
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -396,6 +396,10 @@
         before = current,
         routes = directory.route_count(),
     );
+    for fault in directory.faults() {
+        state.metrics.on_call(S::CONFIGURATION.0, "bad-entry");
+        warn!(event = "configuration", outcome = "bad-part", fault);
+    }
     view.directory = Some(Arc::new(directory));
     true
 }
