Refuse requests in a stop that are not expected to end in it

What callers saw, by other operators: requests that came late in the grace of a planned stop were passed on and ended with the process, also ones that may not be repeated. Here they got 502, `may-have-run`, instead of no answer.

Cause: for upstreams without an engine profile a request was sent as long as 20 ms were left.

Told apart: an unused connection is closed when new ones are refused, so nothing is taken from it later; a test holds that.

Evidence: the test sends an `unsafe` and a `safe` request 300 ms before the node stops to wait; both were passed on before, and are refused as not run now.

Change: while the node stops, the route's objective has to fit into the time that is left, for the first send and for each further one.

--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -194,6 +194,9 @@
             if self.time_left() < MIN_ATTEMPT_TIME {
                 return Err(self.deadline_refusal());
             }
+            if self.is_too_late() {
+                return Err(self.stop_refusal());
+            }
             self.wait_for_permission().await?;
             let Placed {
                 placement,
@@ -280,7 +283,7 @@
         let connection = self.state.pool.get(address, fresh, now).await;
         let Connection { mut sender, fresh } = connection.map_err(AttemptError::Unsent)?;
         let left = self.time_left();
-        if left < MIN_ATTEMPT_TIME {
+        if left < MIN_ATTEMPT_TIME || self.is_too_late() {
             return Err(AttemptError::DeadlinePassed);
         }
         // The upstream and the configuration may have changed while the connection was opened.
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -94,6 +94,16 @@
         self.state.ends_at().is_some_and(|at| at < self.deadline)
     }
 
+    /// Whether this node ends before an upstream can be expected to answer.
+    ///
+    /// How long an engine needs is predicted when the request is placed; other upstreams
+    /// are expected to meet the objective.
+    pub(super) fn is_too_late(&self) -> bool {
+        let service = self.directory.service(&self.service);
+        let is_predicted = service.is_some_and(|service| service.engine.is_some());
+        self.outlives_node() && !is_predicted && self.time_left() < self.route.objective
+    }
+
     /// Records what the request waits for, for the log of a stop.
     pub(super) fn enter(&self, stage: Stage) {
         self.open.enter(stage, self.state.now());
