Keep times within bounds, and start tasks that panic again

What callers saw: a prompt of 10^15 tokens had its connection closed without an answer, and ended the task that hears other nodes at up to three nodes.

Cause: durations computed from the sizes of requests and the figures of manifests panicked when they were too long, and nobody noticed that a task had ended.

Change: `units::seconds` keeps durations from outside between none and a year, and counts of tokens and bytes saturate. Tasks on which the node depends are supervised: a panic is logged and counted, and the task starts anew.

--- a/crates/catkinusher-core/src/engine/mod.rs
+++ b/crates/catkinusher-core/src/engine/mod.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::units::{Rate, Tokens};
+use crate::units::{self, Rate, Tokens};
 
 /// The capacity and speed of the engines of a service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -54,13 +54,13 @@
         let tokens = prompt.get() as f64;
         let linear = tokens / self.prefill_rate.get().max(1.0);
         let quadratic = tokens * tokens / 2e6 * self.pair_prefill_ms / 1e3;
-        Duration::from_secs_f64(linear + quadratic)
+        units::seconds(linear + quadratic)
     }
 
     /// The least time to decode an answer of this length, on an otherwise idle engine.
     #[must_use]
     pub fn decode_time(&self, answer: Tokens) -> Duration {
-        Duration::from_secs_f64(self.step_ms * answer.get() as f64 / 1e3)
+        units::seconds(self.step_ms * answer.get() as f64 / 1e3)
     }
 
     /// The time of one pass with `answers` active answers that hold `context` tokens.
@@ -69,6 +69,6 @@
         let step = self.step_ms
             + self.answer_step_ms * f64::from(answers)
             + self.context_step_ms * context.get() as f64 / 1e3;
-        Duration::from_secs_f64(step * f64::from(self.steps_per_pass) / 1e3)
+        units::seconds(step * f64::from(self.steps_per_pass) / 1e3)
     }
 }
--- a/crates/catkinusher-core/src/fleet/limit.rs
+++ b/crates/catkinusher-core/src/fleet/limit.rs
@@ -13,7 +13,7 @@
 use super::{Authority, Fleet, MIN_ASSUMED_NODES};
 use crate::id::UpstreamId;
 use crate::time::Time;
-use crate::units::Rate;
+use crate::units::{self, Rate};
 
 /// The fraction of a limit, and the requests a second on top of it, that a node uses at most
 /// which places for others.
@@ -96,7 +96,7 @@
     }
 
     fn interval(rate: f64) -> Duration {
-        Duration::from_secs_f64(1.0 / rate)
+        units::seconds(1.0 / rate)
     }
 
     fn shared_interval(limit: Rate) -> Duration {
--- a/crates/catkinusher-core/src/fleet/load.rs
+++ b/crates/catkinusher-core/src/fleet/load.rs
@@ -155,7 +155,7 @@
         self.long_requests += other.long_requests;
         self.parts += other.parts;
         self.pending_prefill_ms += other.pending_prefill_ms;
-        self.held_tokens += other.held_tokens;
+        self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
         self.total_prefill_ms += other.total_prefill_ms;
         self.succeeded += other.succeeded;
         self.failed += other.failed;
@@ -196,7 +196,7 @@
         let prefill_ms = cost.prefill_time.as_millis() as u64;
         self.pending_prefill_ms += prefill_ms;
         self.total_prefill_ms += prefill_ms;
-        self.held_tokens += cost.held_tokens.get();
+        self.held_tokens = self.held_tokens.saturating_add(cost.held_tokens.get());
     }
 
     pub(super) const fn on_prefill_done(&mut self, cost: &Cost) {
--- a/crates/catkinusher-core/src/units/mod.rs
+++ b/crates/catkinusher-core/src/units/mod.rs
@@ -102,13 +102,13 @@
             type Output = Self;
 
             fn add(self, rhs: Self) -> Self {
-                Self(self.0 + rhs.0)
+                Self(self.0.saturating_add(rhs.0))
             }
         }
 
         impl AddAssign for $name {
             fn add_assign(&mut self, rhs: Self) {
-                self.0 += rhs.0;
+                self.0 = self.0.saturating_add(rhs.0);
             }
         }
 
@@ -131,7 +131,7 @@
             where
                 I: Iterator<Item = Self>,
             {
-                Self(iter.map(|part| part.0).sum())
+                iter.fold(Self(0), Add::add)
             }
         }
 
@@ -163,6 +163,23 @@
      ("KiB", 1_024), ("MiB", 1_048_576), ("GiB", 1_073_741_824)]
 }
 
+/// The longest duration that is computed from a count of seconds; sums and small multiples of it
+/// are durations, too.
+const MAX_DURATION: Duration = Duration::from_hours(24 * 365);
+
+/// The duration of so many seconds, for counts that come from outside.
+///
+/// What is negative or not a number is none, and what is too long is a year.
+#[must_use]
+pub fn seconds(count: f64) -> Duration {
+    let max = MAX_DURATION.as_secs_f64();
+    if count > 0.0 {
+        Duration::from_secs_f64(count.min(max))
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// A rate in events, tokens or bytes per second, depending on its field.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -17,6 +17,7 @@
 use super::dialect::{Dialect, StoreSchema};
 use super::peers::{self, Feed, Message};
 use super::state::State;
+use super::supervise;
 use super::watch;
 
 /// Starts the task that reads the store and queries peers.
@@ -29,12 +30,10 @@
     D: Dialect,
     S: StoreSchema,
 {
-    tokio::spawn(run(
-        Arc::clone(state),
-        store.at(Priority::Configuration),
-        schema.clone(),
-        socket,
-    ));
+    let (store, schema) = (store.at(Priority::Configuration), schema.clone());
+    supervise::spawn(state, "confirm", move |state| {
+        run(state, store.clone(), schema.clone(), Arc::clone(&socket))
+    });
 }
 
 async fn run<D, S>(state: Arc<State<D>>, store: Store<S::Form>, schema: S, socket: Arc<UdpSocket>)
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod reserve;
 mod state;
 mod stop;
+mod supervise;
 mod trials;
 mod watch;
 
--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -23,7 +23,7 @@
 
 use super::dialect::{Dialect, StoreSchema};
 use super::state::{Registration, State};
-use super::{clock, confirm, placing, quarantine};
+use super::{clock, confirm, placing, quarantine, supervise};
 
 /// How often expired idle connections are closed.
 const EVICT_PERIOD: Duration = Duration::from_secs(20);
@@ -57,15 +57,18 @@
         .with_context(|| format!("cannot listen for peers on {address}"))?;
     let socket = Arc::new(socket);
     state.set_socket(Arc::clone(&socket));
-    tokio::spawn(register::<D, S>(
-        Arc::clone(state),
-        store.at(Priority::Status),
-    ));
-    tokio::spawn(reports::send_reports(
-        Arc::clone(state),
-        Arc::clone(&socket),
-    ));
-    tokio::spawn(receive_messages(Arc::clone(state), Arc::clone(&socket)));
+    let store = store.at(Priority::Status);
+    supervise::spawn(state, "register", move |state| {
+        register::<D, S>(state, store.clone())
+    });
+    let sending = Arc::clone(&socket);
+    supervise::spawn(state, "reports", move |state| {
+        reports::send_reports(state, Arc::clone(&sending))
+    });
+    let receiving = Arc::clone(&socket);
+    supervise::spawn(state, "peers", move |state| {
+        receive_messages(state, Arc::clone(&receiving))
+    });
     placing::start(state, &socket);
     Ok(socket)
 }
--- a/crates/catkinusherd/src/gateway/placing.rs
+++ b/crates/catkinusherd/src/gateway/placing.rs
@@ -23,6 +23,7 @@
 use super::dialect::Dialect;
 use super::peers::{self, Message, Question};
 use super::state::State;
+use super::supervise;
 
 /// How long an answer may take before the ask is sent again, in case a datagram was lost.
 const RESEND_TIMEOUT: Duration = Duration::from_millis(40);
@@ -435,8 +436,14 @@
 where
     D: Dialect,
 {
-    tokio::spawn(poll_waiting(Arc::clone(state), Arc::clone(socket)));
-    tokio::spawn(send_pressures(Arc::clone(state), Arc::clone(socket)));
+    let answering = Arc::clone(socket);
+    supervise::spawn(state, "placing", move |state| {
+        poll_waiting(state, Arc::clone(&answering))
+    });
+    let sending = Arc::clone(socket);
+    supervise::spawn(state, "pressures", move |state| {
+        send_pressures(state, Arc::clone(&sending))
+    });
 }
 
 /// Tries the waiting asks again while there are any.
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -32,6 +32,7 @@
 use super::handle::Job;
 use super::peers::{self, Message};
 use super::state::State;
+use super::supervise;
 use super::trials::{self, NoTrial, Order};
 
 const SALT: Salt = Salt::new(0x706f_6973);
@@ -340,16 +341,15 @@
     D: Dialect,
     S: StoreSchema,
 {
-    tokio::spawn(judge::<D, S>(
-        Arc::clone(state),
-        store.at(Priority::Status),
-        Arc::clone(socket),
-    ));
-    tokio::spawn(remove_expired::<D, S>(
-        Arc::clone(state),
-        store.at(Priority::Status),
-    ));
-    trials::start::<D, S>(state, &store.at(Priority::Status), socket);
+    let store = store.at(Priority::Status);
+    trials::start::<D, S>(state, &store, socket);
+    let (judging, socket) = (store.clone(), Arc::clone(socket));
+    supervise::spawn(state, "quarantine", move |state| {
+        judge::<D, S>(state, judging.clone(), Arc::clone(&socket))
+    });
+    supervise::spawn(state, "quarantine", move |state| {
+        remove_expired::<D, S>(state, store.clone())
+    });
 }
 
 /// Asks all nodes about suspected content, and condemns what none of them knows to be sound.
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -23,6 +23,7 @@
 use super::peers::Feed;
 use super::quarantine;
 use super::state::State;
+use super::supervise;
 
 /// How long one call waits for changes, within the store's limit. If a stalled
 /// connection holds back changes, replies of peers reveal them sooner.
@@ -81,53 +82,45 @@
     D: Dialect,
     S: StoreSchema,
 {
-    let configuration = ConfigurationHandler {
-        state: Arc::clone(state),
-        schema: schema.clone(),
-    };
-    tokio::spawn(run_watch::<D, S, _>(
-        Arc::clone(state),
-        store.clone(),
-        configuration,
-    ));
-    let upstreams = UpstreamHandler {
-        state: Arc::clone(state),
-        schema: schema.clone(),
-    };
-    tokio::spawn(run_watch::<D, S, _>(
-        Arc::clone(state),
-        store.clone(),
-        upstreams,
-    ));
-    let nodes = NodeHandler::<D, S> {
-        state: Arc::clone(state),
+    let kept = schema.clone();
+    follow_kind::<D, S, _, _>(state, store, move |state| ConfigurationHandler {
+        state,
+        schema: kept.clone(),
+    });
+    let kept = schema.clone();
+    follow_kind::<D, S, _, _>(state, store, move |state| UpstreamHandler {
+        state,
+        schema: kept.clone(),
+    });
+    follow_kind::<D, S, _, _>(state, store, |state| NodeHandler::<D, S> {
+        state,
         addresses: HashMap::new(),
         schema: PhantomData,
-    };
-    tokio::spawn(run_watch::<D, S, _>(
-        Arc::clone(state),
-        store.clone(),
-        nodes,
-    ));
-    let quarantine = QuarantineHandler::<D, S> {
-        state: Arc::clone(state),
+    });
+    follow_kind::<D, S, _, _>(state, store, |state| QuarantineHandler::<D, S> {
+        state,
         schema: PhantomData,
-    };
-    tokio::spawn(run_watch::<D, S, _>(
-        Arc::clone(state),
-        store.clone(),
-        quarantine,
-    ));
-    let drained = DrainHandler::<D, S> {
-        state: Arc::clone(state),
+    });
+    follow_kind::<D, S, _, _>(state, store, |state| DrainHandler::<D, S> {
+        state,
         data_centres: BTreeSet::new(),
         schema: PhantomData,
-    };
-    tokio::spawn(run_watch::<D, S, _>(
-        Arc::clone(state),
-        store.clone(),
-        drained,
-    ));
+    });
+}
+
+/// Starts the watch of one kind; `handler` builds what handles its changes.
+fn follow_kind<D, S, H, F>(state: &Arc<State<D>>, store: &Store<S::Form>, handler: F)
+where
+    D: Dialect,
+    S: StoreSchema,
+    H: WatchHandler,
+    F: Fn(Arc<State<D>>) -> H + Send + 'static,
+{
+    let store = store.clone();
+    supervise::spawn(state, "watch", move |state| {
+        let handler = handler(Arc::clone(&state));
+        run_watch::<D, S, _>(state, store.clone(), handler)
+    });
 }
 
 async fn run_watch<D, S, F>(state: Arc<State<D>>, store: Store<S::Form>, mut handler: F)
