Let the nodes that are present decide on suspected content, in doubt

Cause: content is condemned when half of the registered nodes have answered, and nodes that were lost for good stay registered.

The detector's test of a node that is cut off shows the other side, that too few answers must prove nothing; it holds unchanged.

Change: after five inquiries half of the nodes that were heard in the last 5 s are enough, if there is one. The content is doubtful then, so that one request may run as a trial. Why it works: a wrong decision of one side of a partition is undone by the first sound answer, and a right one costs one more crash.

--- a/crates/catkinusher-core/src/fingerprint/mod.rs
+++ b/crates/catkinusher-core/src/fingerprint/mod.rs
@@ -24,6 +24,9 @@
 pub struct Fingerprint([u8; FINGERPRINT_BYTES]);
 
 impl Fingerprint {
+    /// Stands for content that is not known, which no request holds.
+    pub const UNKNOWN: Self = Self([0; FINGERPRINT_BYTES]);
+
     /// The fingerprint of these parts; different splits of the same bytes give different fingerprints.
     #[must_use]
     pub fn of<'a, I>(parts: I) -> Self
--- a/crates/catkinusher-core/src/poison/detector.rs
+++ b/crates/catkinusher-core/src/poison/detector.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::suspects::{
-    Cleared, CrashReport, Findings, Inquiry, InquiryReply, MIN_CRASHES, Suspects,
+    Cleared, CrashReport, Findings, Inquiry, InquiryReply, MIN_CRASHES, Others, Suspects,
 };
 use super::{Policy, Quarantine, QuarantineEntry, Verdict};
 use crate::fingerprint::Fingerprint;
@@ -94,9 +94,9 @@
         let condemned: BTreeSet<Fingerprint> = condemned.copied().collect();
         let holds_cause = |one: &Fingerprint| {
             self.guilty.get(one).is_none_or(|guilty| {
-                let mut rest = guilty
-                    .iter()
-                    .filter(|other| self.is_condemned(**other, now));
+                let mut rest = guilty.iter().filter(|other| {
+                    **other == Fingerprint::UNKNOWN || self.is_condemned(**other, now)
+                });
                 rest.all(|other| condemned.contains(other))
             })
         };
@@ -111,7 +111,8 @@
     #[must_use]
     pub fn trial_record(&self, content: &BTreeSet<Fingerprint>) -> Option<Fingerprint> {
         let sets = content.iter().filter_map(|one| self.guilty.get(one));
-        sets.filter_map(BTreeSet::first).min().copied()
+        let known = sets.flatten().filter(|one| **one != Fingerprint::UNKNOWN);
+        known.min().copied()
     }
 
     /// Records that a request with this content was answered, which clears it.
@@ -237,9 +238,9 @@
         self.suspects.has_suspected()
     }
 
-    /// Decides on the suspected content in a fleet with this number of other nodes, and puts the
-    /// condemned into quarantine.
-    pub fn poll(&mut self, others: usize, now: Time) -> Findings {
+    /// Decides on the suspected content in a fleet with these other nodes, and puts the condemned
+    /// into quarantine.
+    pub fn poll(&mut self, others: Others, now: Time) -> Findings {
         let suspicion = self.policy.suspicion.get();
         let findings = self.suspects.poll(suspicion, others, now);
         let left = self.policy.quarantine;
--- a/crates/catkinusher-core/src/poison/mod.rs
+++ b/crates/catkinusher-core/src/poison/mod.rs
@@ -24,7 +24,9 @@
 pub use self::detector::{Condemned, Detector, Permission};
 use self::entry::Entry;
 pub use self::entry::{CrashScore, QuarantineEntry};
-pub use self::suspects::{CrashReport, Finding, Findings, INQUIRY_INTERVAL, Inquiry, InquiryReply};
+pub use self::suspects::{
+    CrashReport, Finding, Findings, INQUIRY_INTERVAL, Inquiry, InquiryReply, Others,
+};
 pub use self::trial::{TrialRecord, TrialWatch};
 use crate::fingerprint::Fingerprint;
 use crate::time::Time;
--- a/crates/catkinusher-core/src/poison/suspects.rs
+++ b/crates/catkinusher-core/src/poison/suspects.rs
@@ -38,6 +38,9 @@
 /// nothing of what they saw.
 const QUORUM: f64 = 0.5;
 
+/// The number of inquiries after which the nodes that were heard lately decide, in doubt.
+const DOUBTFUL_INQUIRIES: u32 = 5;
+
 /// The number of suspects in one inquiry, so that it and its answers fit into a datagram.
 const MAX_INQUIRY: usize = 100;
 
@@ -107,6 +110,24 @@
     }
 }
 
+/// The other nodes, as far as the one that collects reports knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Others {
+    /// How many are registered, which those are that were lost for good, too.
+    pub registered: usize,
+    /// How many were heard lately.
+    pub present: usize,
+}
+
+/// How far the nodes agree on a suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Agreement {
+    /// Enough of the registered ones have answered.
+    Whole,
+    /// Enough of those have answered that were heard lately, which may be one side of a partition.
+    Doubtful,
+}
+
 /// Content that no node knows to be sound.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
@@ -115,6 +136,7 @@
     /// The number of crashes.
     pub crashes: u32,
     /// The parts, this one included, that were in the same crashes; any of them may be the cause.
+    /// [`Fingerprint::UNKNOWN`] among them stands for what nodes may know that did not answer.
     pub alike: BTreeSet<Fingerprint>,
 }
 
@@ -340,19 +362,20 @@
         }
     }
 
-    /// Decides on the suspects in a fleet with this number of other nodes.
-    pub(super) fn poll(&mut self, suspicion: Duration, others: usize, now: Time) -> Findings {
+    /// Decides on the suspects in a fleet with these other nodes.
+    pub(super) fn poll(&mut self, suspicion: Duration, others: Others, now: Time) -> Findings {
         self.entries
             .retain(|_, suspect| now.since(suspect.last_at) < suspicion);
         let mut condemned = Vec::new();
         // In turn, as the crashes that the first explain may be all there is against the next.
-        while let Some(first) = self.next_condemned(others, now) {
+        while let Some((first, agreement)) = self.next_condemned(others, now) {
             let is_like = |suspect: &Suspect| {
                 suspect.crashes == first.crashes
                     && (suspect.begun, suspect.is_whole) == (first.begun, first.is_whole)
             };
             let alike = self.entries.extract_if(.., |_, suspect| is_like(suspect));
             let alike: BTreeSet<Fingerprint> = alike.map(|(content, _)| content).collect();
+            let doubt = (agreement == Agreement::Doubtful).then_some(Fingerprint::UNKNOWN);
             condemned.extend(alike.iter().map(|content| Finding {
                 content: *content,
                 crashes: first.crashes.len() as u32,
@@ -360,7 +383,7 @@
                 alike: if first.is_whole {
                     BTreeSet::from([*content])
                 } else {
-                    alike.clone()
+                    alike.iter().copied().chain(doubt).collect()
                 },
             }));
             self.explain(&first.crashes, first.cause());
@@ -373,15 +396,25 @@
     ///
     /// Of those with the same crashes it is the one that was begun most often; others of which as
     /// many were begun cannot be told from it, so they are condemned together.
-    fn next_condemned(&self, others: usize, now: Time) -> Option<Suspect> {
-        let quorum = (others as f64 * QUORUM).ceil() as usize;
+    fn next_condemned(&self, others: Others, now: Time) -> Option<(Suspect, Agreement)> {
+        let quorum = |nodes: usize| (nodes as f64 * QUORUM).ceil() as usize;
         let suspect = self
             .entries
             .values()
             .filter(|suspect| suspect.is_suspected(&self.explained))
             .max_by_key(|suspect| (suspect.crashes.len(), !suspect.is_whole, suspect.begun))?;
         let is_asked = suspect.inquiries >= INQUIRIES && now >= suspect.inquire_at;
-        (is_asked && suspect.repliers.len() >= quorum).then(|| suspect.clone())
+        let repliers = suspect.repliers.len();
+        // A node that hears no other one may be cut off itself.
+        let is_patient = suspect.inquiries >= DOUBTFUL_INQUIRIES && others.present > 0;
+        let agreement = if repliers >= quorum(others.registered) {
+            Agreement::Whole
+        } else if is_patient && repliers >= quorum(others.present) {
+            Agreement::Doubtful
+        } else {
+            return None;
+        };
+        is_asked.then(|| (suspect.clone(), agreement))
     }
 
     fn next_inquiry(&mut self, now: Time) -> Option<Inquiry> {
--- a/crates/catkinusher-core/src/roster/mod.rs
+++ b/crates/catkinusher-core/src/roster/mod.rs
@@ -17,6 +17,9 @@
 use crate::rendezvous::Salt;
 use crate::time::Time;
 
+/// How long a node counts as present after it was heard; each one queries all readers in turn by then.
+const PRESENCE_TIME: Duration = Duration::from_secs(5);
+
 const SALT: Salt = Salt::new(0x726f_7374_6572);
 
 /// The delay before a silent node is probed for the first time.
@@ -194,6 +197,18 @@
         self.entries.keys().copied().collect()
     }
 
+    /// The number of other nodes that were heard lately.
+    ///
+    /// A node that was lost for good stays registered, so the number of registered nodes tells
+    /// less about who can answer.
+    #[must_use]
+    pub fn present(&self, now: Time) -> usize {
+        let heard = self.entries.values().map(|entry| entry.heard_at);
+        heard
+            .filter(|at| *at > Time::ZERO && now.since(*at) < PRESENCE_TIME)
+            .count()
+    }
+
     /// The number of registered nodes, including this one.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/catkinusher-core/tests/detector.rs
+++ b/crates/catkinusher-core/tests/detector.rs
@@ -8,8 +8,8 @@
 use catkinusher_core::id::{Incarnation, Serial};
 use catkinusher_core::object::Version;
 use catkinusher_core::poison::{
-    Condemned, Content, CrashReport, Detector, Finding, Permission, Policy, QuarantineEntry,
-    TrialRecord, TrialWatch,
+    Condemned, Content, CrashReport, Detector, Finding, Others, Permission, Policy,
+    QuarantineEntry, TrialRecord, TrialWatch,
 };
 use catkinusher_core::time::Time;
 use catkinusher_core::units::Span;
@@ -66,6 +66,14 @@
     }
 }
 
+/// Other nodes, none of which was heard lately.
+fn registered(count: usize) -> Others {
+    Others {
+        registered: count,
+        present: 0,
+    }
+}
+
 fn node(number: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], 1000 + number as u16))
 }
@@ -80,7 +88,7 @@
         detector.on_report(&report(upstream as u32, *request, content), ms(now));
     }
     for _ in 0..10 {
-        condemned += detector.poll(0, ms(now)).condemned.len();
+        condemned += detector.poll(registered(0), ms(now)).condemned.len();
         now += 100;
     }
     condemned
@@ -99,7 +107,7 @@
     assert!(detector.has_suspected());
     let rounds: Vec<(bool, usize)> = [4000, 4050, 4100, 4200, 4300]
         .map(|at| {
-            let findings = detector.poll(0, ms(at));
+            let findings = detector.poll(registered(0), ms(at));
             (findings.inquiry.is_some(), findings.condemned.len())
         })
         .to_vec();
@@ -142,14 +150,14 @@
     for (upstream, (at, request)) in crashes.iter().enumerate() {
         during.on_report(&report(upstream as u32, *request, &content), ms(*at));
     }
-    let inquiry = during.poll(2, ms(1200)).inquiry.unwrap();
+    let inquiry = during.poll(registered(2), ms(1200)).inquiry.unwrap();
     assert_eq!(inquiry.content, content);
     let mut other = Detector::new(Incarnation::new(1), Policy::default());
     other.on_answered(&content, ms(1000));
     let reply = other.reply(&inquiry, ms(1210));
     during.on_reply(&reply, node(1), ms(1220));
     assert!(!during.has_suspected());
-    assert_eq!(during.poll(2, ms(1300)).condemned, []);
+    assert_eq!(during.poll(registered(2), ms(1300)).condemned, []);
     // What a node only heard it does not pass on, or it would never be forgotten.
     assert_eq!(during.reply(&inquiry, ms(1300)).cleared, []);
 }
@@ -163,17 +171,17 @@
     }
     let mut last = None;
     for at in (800..20_000).step_by(100) {
-        let findings = detector.poll(9, ms(at));
+        let findings = detector.poll(registered(9), ms(at));
         assert_eq!(findings.condemned, []);
         last = findings.inquiry.or(last);
     }
     let inquiry = last.unwrap();
     let reply = Detector::new(Incarnation::new(1), Policy::default()).reply(&inquiry, ms(20_000));
     for number in 0..5 {
-        assert_eq!(detector.poll(9, ms(30_000)).condemned, []);
+        assert_eq!(detector.poll(registered(9), ms(30_000)).condemned, []);
         detector.on_reply(&reply, node(number), ms(20_100));
     }
-    assert_eq!(detector.poll(9, ms(40_000)).condemned.len(), 1);
+    assert_eq!(detector.poll(registered(9), ms(40_000)).condemned.len(), 1);
 }
 
 #[test]
@@ -185,7 +193,7 @@
     }
     let mut asked = BTreeSet::new();
     for _ in 0..3 {
-        let inquiry = detector.poll(9, ms(800)).inquiry.unwrap();
+        let inquiry = detector.poll(registered(9), ms(800)).inquiry.unwrap();
         assert!(inquiry.content.len() <= 100);
         asked.extend(inquiry.content);
     }
@@ -202,7 +210,7 @@
     detector.on_report(&report(4, 4, &[dead]), ms(1200));
     let condemned: Vec<_> = [1200, 1300, 1400, 1500, 1600, 1700]
         .into_iter()
-        .flat_map(|at| detector.poll(0, ms(at)).condemned)
+        .flat_map(|at| detector.poll(registered(0), ms(at)).condemned)
         .collect();
     assert_eq!(condemned, [finding(dead, 4)]);
     assert!(!detector.has_suspected());
@@ -226,7 +234,7 @@
     let condemned = |detector: &mut Detector, from: u64| -> BTreeSet<Fingerprint> {
         (from..from + 800)
             .step_by(100)
-            .flat_map(|at| detector.poll(0, ms(at)).condemned)
+            .flat_map(|at| detector.poll(registered(0), ms(at)).condemned)
             .map(|finding| finding.content)
             .collect()
     };
@@ -251,7 +259,7 @@
     }
     let condemned: Vec<_> = (900..2000)
         .step_by(100)
-        .flat_map(|at| detector.poll(0, ms(at)).condemned)
+        .flat_map(|at| detector.poll(registered(0), ms(at)).condemned)
         .collect();
     assert_eq!(condemned, [finding(dead, 3)]);
 }
@@ -453,7 +461,7 @@
             }
         }
         for collector in COLLECTORS {
-            let findings = self.nodes[collector].poll(NODES - 1, now);
+            let findings = self.nodes[collector].poll(registered(NODES - 1), now);
             let mut entries: Vec<Condemned> = Vec::new();
             for finding in findings.condemned {
                 self.counts.condemned.insert(finding.content);
@@ -585,7 +593,7 @@
                 ms(u64::from(number) * 300),
             );
         }
-        let inquiry = detector.poll(10, ms(1500)).inquiry.unwrap();
+        let inquiry = detector.poll(registered(10), ms(1500)).inquiry.unwrap();
         (detector, inquiry)
     };
     let (_, late) = suspected(1);
@@ -596,7 +604,7 @@
         detector.on_reply(&reply, node(number), ms(1600));
     }
     for now in (1600..3000).step_by(100) {
-        assert!(detector.poll(10, ms(now)).condemned.is_empty());
+        assert!(detector.poll(registered(10), ms(now)).condemned.is_empty());
     }
 }
 
@@ -607,7 +615,7 @@
         detector.on_report(&report(upstream, upstream.into(), parts), ms(at));
     }
     for at in (800..2000).step_by(100) {
-        detector.poll(0, ms(at));
+        detector.poll(registered(0), ms(at));
     }
     assert!(
         parts
@@ -683,3 +691,34 @@
     let fourth = third.end(serial(2), false);
     assert!(watch.may_begin(name, &fourth, version(8), ms(9100)));
 }
+
+#[test]
+fn nodes_that_were_lost_for_good_do_not_keep_content_from_being_condemned() {
+    // Four of seven nodes were removed, and a deadly part crashed upstreams without end (BUDGET).
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
+    let dead = part("dead");
+    for (upstream, at) in [(1, 0), (2, 400), (3, 800)] {
+        detector.on_report(&report(upstream, upstream.into(), &[dead]), ms(at));
+    }
+    let others = Others {
+        registered: 6,
+        present: 2,
+    };
+    let other = Detector::new(Incarnation::new(2), Policy::default());
+    for at in (800..2500).step_by(100) {
+        let Some(inquiry) = detector.poll(others, ms(at)).inquiry else {
+            continue;
+        };
+        for number in 0..2 {
+            detector.on_reply(&other.reply(&inquiry, ms(at)), node(number), ms(at));
+        }
+    }
+    assert!(detector.is_condemned(dead, ms(2500)));
+    // Nodes that cannot answer may know better, so one request may show it.
+    let only = BTreeSet::from([dead]);
+    let trial = detector.check(&[dead], ms(2500));
+    assert_eq!(trial, Permission::Trial(only.clone()));
+    detector.on_trial_crashed(&only, ms(2500));
+    let refused = detector.check(&[dead], ms(2500));
+    assert!(matches!(refused, Permission::Refuse { .. }), "{refused:?}");
+}
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -18,7 +18,7 @@
 use catkinusher_core::outcome::{Evidence, Outcome, Refusal};
 use catkinusher_core::poison::{
     Condemned, Content, CrashReport, Finding, Findings, INQUIRY_INTERVAL, Inquiry, InquiryReply,
-    Permission, QuarantineEntry,
+    Others, Permission, QuarantineEntry,
 };
 use catkinusher_core::rendezvous::Salt;
 use catkinusher_core::units::Span;
@@ -362,7 +362,13 @@
         state.notifiers.suspected.notified().await;
         while state.detector().has_suspected() {
             let now = state.now();
-            let others = state.roster().len() - 1;
+            let others = {
+                let roster = state.roster();
+                Others {
+                    registered: roster.len() - 1,
+                    present: roster.present(clock::boot_time()),
+                }
+            };
             let Findings { inquiry, condemned } = state.detector().poll(others, now);
             if let Some(inquiry) = inquiry {
                 info!(event = "quarantine", content = ?names(&inquiry.content), outcome = "suspected");
