Look at all shared parts of a prompt

Cause: only the first 32 shared parts were read, so that a report fits into a datagram; the part was in no report, and no two requests were alike.

By `parse_head` a prompt of 1,000 parts had 32 shared ones.

Change: all parts count, reports are split, and the collecting nodes drop half of their suspects at once when there are too many, those with the fewest crashes first. Why it works: the deadly part is in each report, and after its second crash it outranks what is new.

--- a/crates/catkinusher-core/src/poison/suspects.rs
+++ b/crates/catkinusher-core/src/poison/suspects.rs
@@ -41,6 +41,9 @@
 /// The number of inquiries after which the nodes that were heard lately decide, in doubt.
 const DOUBTFUL_INQUIRIES: u32 = 5;
 
+/// The number of parts in one report.
+const MAX_REPORTED: usize = 128;
+
 /// The number of suspects in one inquiry, so that it and its answers fit into a datagram.
 const MAX_INQUIRY: usize = 100;
 
@@ -57,7 +60,7 @@
 const MAX_EXPLAINED: usize = 256;
 
 /// The number of suspects that are kept.
-const MAX_SUSPECTS: usize = 1_000;
+const MAX_SUSPECTS: usize = 8_000;
 
 /// The size of one generation of [`Cleared`].
 const MAX_CLEARED: usize = 4_096;
@@ -82,6 +85,22 @@
     pub begun: bool,
 }
 
+impl CrashReport {
+    /// The reports with at most [`MAX_REPORTED`] parts each that say the same, so that each fits
+    /// into a datagram.
+    pub fn split(self) -> impl Iterator<Item = Self> {
+        let chunks = self.parts.chunks(MAX_REPORTED).map(<[_]>::to_vec);
+        let mut chunks: Vec<_> = chunks.collect();
+        if chunks.is_empty() {
+            chunks.push(Vec::new());
+        }
+        chunks.into_iter().map(move |parts| Self {
+            parts,
+            ..self.clone()
+        })
+    }
+}
+
 /// The fields of a [`CrashReport`] in order.
 type ReportRow = (u32, u64, Vec<Fingerprint>, Fingerprint, bool);
 
@@ -297,14 +316,24 @@
                 suspect.on_crash(crash, *upstream, request, now);
             }
         }
-        while self.entries.len() > MAX_SUSPECTS {
-            let least = self
-                .entries
-                .iter()
-                .min_by_key(|(_, suspect)| (suspect.crashes.len(), suspect.last_at))
-                .map(|(content, _)| *content);
-            let Some(least) = least else { return };
-            self.entries.remove(&least);
+        self.enforce_bound();
+    }
+
+    /// Drops the suspects with the fewest crashes, half of all that are kept at once, so that
+    /// many new ones cost little.
+    fn enforce_bound(&mut self) {
+        if self.entries.len() <= MAX_SUSPECTS {
+            return;
+        }
+        let mut order: Vec<_> = self
+            .entries
+            .iter()
+            .map(|(content, suspect)| (suspect.crashes.len(), suspect.last_at, *content))
+            .collect();
+        order.sort_unstable();
+        order.truncate(MAX_SUSPECTS / 2);
+        for (_, _, content) in order {
+            self.entries.remove(&content);
         }
     }
 
--- a/crates/catkinusher-core/tests/detector.rs
+++ b/crates/catkinusher-core/tests/detector.rs
@@ -722,3 +722,27 @@
     let refused = detector.check(&[dead], ms(2500));
     assert!(matches!(refused, Permission::Refuse { .. }), "{refused:?}");
 }
+
+#[test]
+fn a_deadly_part_among_a_thousand_new_ones_is_condemned() {
+    // A part behind 32 others was in no report (BUDGET).
+    let mut detector = Detector::new(Incarnation::new(1), Policy::default());
+    let dead = part("dead");
+    for (request, at) in [(1, 0), (2, 400), (3, 800)] {
+        let mut parts: Vec<_> = (0..4000)
+            .map(|number| part(&format!("new {request} {number}")))
+            .collect();
+        parts.push(dead);
+        let reports: Vec<_> = report(request as u32, request, &parts).split().collect();
+        assert!(reports.len() > 1);
+        for report in &reports {
+            assert!(report.parts.len() <= 128, "it has to fit into a datagram");
+            detector.on_report(report, ms(at));
+        }
+    }
+    let condemned: Vec<_> = (800..2000)
+        .step_by(100)
+        .flat_map(|at| detector.poll(registered(0), ms(at)).condemned)
+        .collect();
+    assert_eq!(condemned, [finding(dead, 3)]);
+}
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -264,11 +264,14 @@
         let (Some(report), Some(socket)) = (report, self.state.socket()) else {
             return;
         };
-        for node in self.state.collectors() {
-            if node == self.state.settings.peers {
-                on_report(&self.state, &report);
-            } else {
-                peers::send(socket, &Message::BrokenOff(report.clone()), node);
+        let collectors = self.state.collectors();
+        for report in report.split() {
+            for node in &collectors {
+                if *node == self.state.settings.peers {
+                    on_report(&self.state, &report);
+                } else {
+                    peers::send(socket, &Message::BrokenOff(report.clone()), *node);
+                }
             }
         }
     }
