Simplify the trials of content, and save a read of the store

A trial that another one holds back was looked up in the store a second time, to end it in case its write had arrived. That is needed only if the result of the write is unknown. Otherwise no behaviour changes: what releases content is one function, and an entry without other content compares like one of length 0.

--- a/crates/catkinusher-core/src/poison/detector.rs
+++ b/crates/catkinusher-core/src/poison/detector.rs
@@ -120,20 +120,25 @@
     /// Returns what of it was in quarantine and is released.
     pub fn on_answered(&mut self, content: &[Fingerprint], now: Time) -> Vec<Fingerprint> {
         for one in content {
-            self.suspects.remove(*one);
             self.cleared.insert(*one, now);
         }
-        let released = content.iter().filter(|one| self.release(**one));
-        released.copied().collect()
+        self.exonerate(content)
     }
 
     /// Takes over that another node saw content answered which was in quarantine, and returns
     /// what is released here.
     pub fn on_released(&mut self, content: &[Fingerprint], now: Time) -> Vec<Fingerprint> {
         for one in content {
-            self.suspects.remove(*one);
             self.heard.insert(*one, now);
         }
+        self.exonerate(content)
+    }
+
+    /// Drops what stands against content, and returns what of it is released.
+    fn exonerate(&mut self, content: &[Fingerprint]) -> Vec<Fingerprint> {
+        for one in content {
+            self.suspects.remove(*one);
+        }
         let released = content.iter().filter(|one| self.release(**one));
         released.copied().collect()
     }
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -88,8 +88,7 @@
 
     /// Whether it tells no less than another one of the same content.
     fn covers(&self, other: &Self) -> bool {
-        let is_as_exact = !self.alike.is_empty() && self.alike.len() <= other.alike.len();
-        !self.time_left().is_zero() && (is_as_exact || self.alike.is_empty())
+        !self.time_left().is_zero() && self.alike.len() <= other.alike.len()
     }
 
     fn condemned(&self, content: Fingerprint) -> Condemned {
--- a/crates/catkinusherd/src/gateway/trials.rs
+++ b/crates/catkinusherd/src/gateway/trials.rs
@@ -78,6 +78,12 @@
         let _ended = self.orders.send(order);
     }
 
+    /// The orders, for the one task that carries them out.
+    fn take_receiver(&self) -> Option<mpsc::UnboundedReceiver<Order>> {
+        let receiver = self.receiver.lock();
+        receiver.unwrap_or_else(PoisonError::into_inner).take()
+    }
+
     fn watch(&self) -> MutexGuard<'_, TrialWatch> {
         self.watch.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -190,12 +196,7 @@
     D: Dialect,
     S: StoreSchema,
 {
-    let mut receiver = state.trials.receiver.lock();
-    let receiver = receiver.as_mut().map_or_else(
-        |poisoned| poisoned.get_mut().take(),
-        |receiver| receiver.take(),
-    );
-    if let Some(receiver) = receiver {
+    if let Some(receiver) = state.trials.take_receiver() {
         tokio::spawn(run::<D, S>(
             Arc::clone(state),
             store.clone(),
@@ -224,8 +225,8 @@
                     granted,
                 } => {
                     let is_granted = begin::<D, S>(&state, &store, record, trial).await;
-                    // The request may have left meanwhile, or the record may stand all the same.
-                    if granted.send(is_granted).is_err() || !is_granted {
+                    // The request may have left meanwhile.
+                    if granted.send(is_granted).is_err() && is_granted {
                         end::<D, S>(&state, &store, record, trial, true).await;
                     }
                 }
@@ -262,6 +263,7 @@
     trial: Serial,
 ) -> bool
 where
+    D: Dialect,
     S: StoreSchema,
 {
     let name = record.to_string();
@@ -289,6 +291,8 @@
         Err(Error::Conflict { .. }) => false,
         Err(error) => {
             warn!(event = "quarantine", content = %record, outcome = "no-trial", %error);
+            // The record may stand all the same.
+            end::<D, S>(state, store, record, trial, true).await;
             false
         }
     }
