--- a/crates/catkinusher-core/src/poison/suspects.rs
+++ b/crates/catkinusher-core/src/poison/suspects.rs
@@ -86,8 +86,7 @@
 }
 
 impl CrashReport {
-    /// The reports with at most [`MAX_REPORTED`] parts each that say the same, so that each fits
-    /// into a datagram.
+    /// Reports that say the same together and have so few parts that each fits into a datagram.
     pub fn split(self) -> impl Iterator<Item = Self> {
         let chunks = self.parts.chunks(MAX_REPORTED).map(<[_]>::to_vec);
         let mut chunks: Vec<_> = chunks.collect();
