Let a value that cannot be decoded cost its part of a manifest alone

Cause: the parts of a manifest are read one by one, but only after the whole text has been decoded as one JSON value. A number out of range, half of a character or an unknown escape anywhere fails that, the revision is not taken over, and the read of it confirms nothing, so the trust in the old one ends on all nodes.

Change: the configuration is decoded with placeholders for the values that the decoder cannot take. A number out of range counts as the nearest one, so ranks keep their order; any other placeholder costs its route, share, key, tenant, service or limit. A service that cannot be used keeps its last good declaration, as cold upstreams would be overrun without it.

--- a/crates/catkinusher-core/src/directory/mod.rs
+++ b/crates/catkinusher-core/src/directory/mod.rs
@@ -201,6 +201,8 @@
     keys_required: bool,
     limits: Limits,
     faults: Vec<String>,
+    /// The declared services of which something could not be used.
+    unusable: Vec<ServiceId>,
 }
 
 impl Directory {
@@ -241,16 +243,31 @@
             keys_required,
             limits,
             faults: Vec::new(),
+            unusable: Vec::new(),
         }
     }
 
-    /// Adds what is wrong with parts of the configuration that could not be used.
+    /// Adds what is wrong with parts of the configuration, and the `services` that are concerned.
     #[must_use]
-    pub fn with_faults(mut self, faults: Vec<String>) -> Self {
+    pub fn with_faults(mut self, faults: Vec<String>, services: Vec<ServiceId>) -> Self {
         self.faults = faults;
+        self.unusable = services;
         self
     }
 
+    /// Takes over the services of the revision in force before that could not be used in this one.
+    ///
+    /// A service grants nobody access, so its last good declaration is safer than none: without
+    /// it, cold upstreams would be overrun. Routes and API keys are never taken over, as the new
+    /// revision may have meant to remove them.
+    pub fn inherit_services(&mut self, previous: &Self) {
+        for name in &self.unusable {
+            if let Some(service) = previous.service(name) {
+                self.services.insert(name.clone(), Arc::clone(service));
+            }
+        }
+    }
+
     /// What is wrong with parts of the configuration; the rest of it is in force.
     #[must_use]
     pub fn faults(&self) -> &[String] {
--- a/crates/catkinusher-platform/src/form/mod.rs
+++ b/crates/catkinusher-platform/src/form/mod.rs
@@ -5,6 +5,7 @@
 //! every API of this family (see
 //! [docs/PROTOCOLS.md](../../../../docs/PROTOCOLS.md)).
 
+pub mod lenient;
 mod native;
 pub mod parts;
 
--- a/crates/catkinusher-platform/src/form/parts.rs
+++ b/crates/catkinusher-platform/src/form/parts.rs
@@ -18,19 +18,28 @@
     parts(text, b'[', b']').ok_or_else(|| malformed("not an array"))
 }
 
+/// The texts of an object's fields, the quoted name and the value of each; one without a name is left out.
+///
+/// # Errors
+///
+/// [`Bad::Body`] if the text is no object.
+pub fn fields(text: &[u8]) -> Result<Vec<(&[u8], &[u8])>> {
+    let fields = parts(text, b'{', b'}').ok_or_else(|| malformed("not an object"))?;
+    Ok(fields.into_iter().filter_map(split_field).collect())
+}
+
 /// The text of a field of an object, if the object has it.
 ///
 /// # Errors
 ///
 /// [`Bad::Body`] if the text is no object.
 pub fn field<'a>(text: &'a [u8], name: &str) -> Result<Option<&'a [u8]>> {
-    let fields = parts(text, b'{', b'}').ok_or_else(|| malformed("not an object"))?;
-    let value = |field: &'a [u8]| {
-        let quoted = field.strip_prefix(b"\"")?.strip_prefix(name.as_bytes())?;
-        let rest = quoted.strip_prefix(b"\"")?.trim_ascii_start();
-        Some(rest.strip_prefix(b":")?.trim_ascii())
-    };
-    Ok(fields.into_iter().find_map(value))
+    let quoted = format!("\"{name}\"");
+    let fields = fields(text)?;
+    let found = fields
+        .into_iter()
+        .find(|(one, _)| *one == quoted.as_bytes());
+    Ok(found.map(|(_, value)| value))
 }
 
 /// Decodes a field that an object must have.
@@ -88,3 +97,24 @@
     }
     (depth == 0 && !quoted).then_some(parts)
 }
+
+/// Splits a field into its quoted name and its value.
+fn split_field(field: &[u8]) -> Option<(&[u8], &[u8])> {
+    let quoted = field.strip_prefix(b"\"")?;
+    let mut escaped = false;
+    let is_end = |byte: &u8| match byte {
+        _ if escaped => {
+            escaped = false;
+            false
+        }
+        b'\\' => {
+            escaped = true;
+            false
+        }
+        byte => *byte == b'"',
+    };
+    let end = quoted.iter().position(is_end)?;
+    let (name, rest) = field.split_at(end + 2);
+    let value = rest.trim_ascii_start().strip_prefix(b":")?;
+    Some((name, value.trim_ascii()))
+}
--- a/crates/catkinusher-platform/src/store/mod.rs
+++ b/crates/catkinusher-platform/src/store/mod.rs
@@ -10,7 +10,7 @@
 use catkinusher_core::object::Version;
 
 use crate::error::{Bad, Error, Result};
-use crate::form::{Condition, Form, Native, Wire};
+use crate::form::{Condition, Form, Native, Wire, lenient};
 use crate::gate::{Gate, Priority};
 use crate::transport::{Call, Reply, Transport};
 
@@ -37,6 +37,7 @@
     transport: Transport,
     priority: Priority,
     stale: bool,
+    lenient: bool,
     form: F,
 }
 
@@ -77,6 +78,7 @@
             transport: Transport::new(addrs, timeout, gate),
             priority: Priority::Configuration,
             stale: false,
+            lenient: false,
             form,
         }
     }
@@ -88,6 +90,7 @@
             transport: self.transport.clone(),
             priority,
             stale: self.stale,
+            lenient: self.lenient,
             form: self.form.clone(),
         }
     }
@@ -101,6 +104,30 @@
         }
     }
 
+    /// Returns a client whose reads decode values as [`lenient::decode`] does, instead of
+    /// leaving out an object of which any value cannot be decoded.
+    #[must_use]
+    pub fn lenient(&self) -> Self {
+        Self {
+            lenient: true,
+            ..self.clone()
+        }
+    }
+
+    /// Decodes a body; if that is not possible as it is, and reads are lenient, with placeholders.
+    fn decode<T, D, C>(&self, body: &[u8], decode: D, is_complete: C) -> Result<T>
+    where
+        D: Fn(&[u8]) -> Result<T>,
+        C: Fn(&T) -> bool,
+    {
+        let decoded = decode(body);
+        if !self.lenient || decoded.as_ref().is_ok_and(is_complete) {
+            return decoded;
+        }
+        let text = lenient::decode(body).to_string();
+        decode(text.as_bytes())
+    }
+
     /// The wire form of a read, by the consistency of this client.
     fn read(&self, wire: Wire) -> Wire {
         if self.stale {
@@ -122,7 +149,10 @@
         let call = call(self.read(self.form.get(kind, name)), OBJECT_LIMIT);
         let reply = self.send(call).await?;
         match reply.status {
-            StatusCode::OK => self.form.object(&reply.body).map(Some),
+            StatusCode::OK => {
+                let decode = |body: &[u8]| self.form.object(body);
+                self.decode(&reply.body, decode, |_| true).map(Some)
+            }
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(unexpected(status)),
         }
@@ -162,7 +192,12 @@
         let call = call(self.read(self.form.list(kind, prefix, after)), LIST_LIMIT);
         let reply = self.send(call).await?;
         match reply.status {
-            StatusCode::OK => self.form.listing(&reply.body),
+            StatusCode::OK => {
+                let decode = |body: &[u8]| self.form.listing(body);
+                self.decode(&reply.body, decode, |(listing, _)| {
+                    listing.unreadable.is_empty()
+                })
+            }
             status => Err(unexpected(status)),
         }
     }
@@ -240,7 +275,10 @@
         call.wait = wait;
         let reply = self.send(call).await?;
         match reply.status {
-            StatusCode::OK => self.form.watched(&reply.body),
+            StatusCode::OK => {
+                let decode = |body: &[u8]| self.form.watched(body);
+                self.decode(&reply.body, decode, |watched| watched.unreadable.is_empty())
+            }
             StatusCode::GONE => Err(Error::Compacted { after }),
             status => Err(unexpected(status)),
         }
--- a/crates/catkinusher-platform/tests/unreadable.rs
+++ b/crates/catkinusher-platform/tests/unreadable.rs
@@ -1,7 +1,7 @@
 //! One object that cannot be decoded, among others that can.
 
 use catkinusher_core::object::Version;
-use catkinusher_platform::form::{Form, Native, parts};
+use catkinusher_platform::form::{Form, Native, lenient, parts};
 use serde_json::Value;
 
 /// Objects with half of a character, a number out of range, no name, and nesting that is too deep.
@@ -57,3 +57,28 @@
     assert_eq!(field("a"), Some(&br#"{"ab": 2}"#[..]));
     assert_eq!(field("b"), None);
 }
+
+// Guards against a configuration that is lost as a whole for one odd value.
+#[test]
+fn lenient_decoding_loses_only_what_cannot_be_decoded() {
+    let deep = format!("[1, {}{}]", "[".repeat(20_000), "]".repeat(20_000));
+    let cases = [
+        r#"{"a": 1e400, "b": [2, "\ud83d", {"c": NaN}], "\ud83d": 3, "d": "e"}"#,
+        r#" ["a,b", tru, 1e-999, "\x41", -1e999] "#,
+        r#"{"a": 1, 7, "b" 2, "c": 3}"#,
+        r#"{"a": "}"#,
+        "",
+        &deep,
+    ];
+    let shown = cases.map(|case| {
+        let mut text = lenient::decode(case.as_bytes()).to_string();
+        text.truncate(400);
+        text
+    });
+    insta::assert_snapshot!(shown.join("\n"));
+    let odd = lenient::decode(b"1e400");
+    let number = lenient::undecodable(&odd).and_then(lenient::nearest_number);
+    assert_eq!(number.and_then(|number| number.as_f64()), Some(f64::MAX));
+    assert_eq!(lenient::nearest_number("NaN"), None);
+    assert_eq!(lenient::nearest_number("inf"), None);
+}
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -30,7 +30,8 @@
     D: Dialect,
     S: StoreSchema,
 {
-    let (store, schema) = (store.at(Priority::Configuration), schema.clone());
+    let store = store.at(Priority::Configuration).lenient();
+    let schema = schema.clone();
     supervise::spawn(state, "confirm", move |state| {
         run(state, store.clone(), schema.clone(), Arc::clone(&socket))
     });
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -45,6 +45,9 @@
 /// The maximum number of doublings of the pause; a confirmed configuration ends it at once.
 const MAX_DOUBLINGS: u32 = 5;
 
+/// The faults of one revision of the configuration that are logged; the others are only counted.
+const MAX_LOGGED_FAULTS: usize = 20;
+
 /// Handles the changes of one kind of object.
 trait WatchHandler: Send + 'static {
     /// The feed through which readers pass on the changes, if any.
@@ -82,8 +85,10 @@
     D: Dialect,
     S: StoreSchema,
 {
+    // The parts of the configuration count by themselves.
+    let lenient = store.lenient();
     let kept = schema.clone();
-    follow_kind::<D, S, _, _>(state, store, move |state| ConfigurationHandler {
+    follow_kind::<D, S, _, _>(state, &lenient, move |state| ConfigurationHandler {
         state,
         schema: kept.clone(),
     });
@@ -370,7 +375,7 @@
     if name != S::CONFIGURATION.1 {
         return true;
     }
-    let directory = match schema.parse_directory(value) {
+    let mut directory = match schema.parse_directory(value) {
         Ok(directory) => directory,
         Err(fault) => {
             warn!(event = "configuration", outcome = "bad", fault);
@@ -389,9 +394,14 @@
         before = current,
         routes = directory.route_count(),
     );
-    for fault in directory.faults() {
+    for (number, fault) in directory.faults().iter().enumerate() {
         state.metrics.on_call(S::CONFIGURATION.0, "bad-entry");
-        warn!(event = "configuration", outcome = "bad-part", fault);
+        if number < MAX_LOGGED_FAULTS {
+            warn!(event = "configuration", outcome = "bad-part", fault);
+        }
+    }
+    if let Some(previous) = &view.directory {
+        directory.inherit_services(previous);
     }
     view.directory = Some(Arc::new(directory));
     true
