Pick a service by weights of any size

Callers would have seen their connection close: a route with two weights of 1e308 or more panicked on each request, as the sum of the weights is not finite and no random number can be drawn below it.

Found by the tests of a manifest with numbers out of range, which become the largest ones. Weights are clamped to 0..1e12 now, so that their sum is finite.

--- a/crates/catkinusher-core/src/directory/mod.rs
+++ b/crates/catkinusher-core/src/directory/mod.rs
@@ -21,6 +21,9 @@
 /// The least time for which callers are assumed to wait for the first event of a stream.
 const LEAST_PATIENCE: Duration = Duration::from_secs(2);
 
+/// The largest weight of a service that is told from a larger one.
+const MAX_WEIGHT: f64 = 1e12;
+
 /// Whether a request may be run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -106,16 +109,18 @@
     where
         R: Rng,
     {
-        let total: f64 = self.split.iter().map(|(_, weight)| weight).sum();
+        // The sum of weights must be finite.
+        let weight = |weight: f64| weight.clamp(0.0, MAX_WEIGHT);
+        let total: f64 = self.split.iter().map(|(_, one)| weight(*one)).sum();
         if self.split.len() < 2 || total <= 0.0 {
             return self.split.first().map(|(service, _)| service);
         }
         let mut drawn = rng.random_range(0.0..total);
-        for (service, weight) in &self.split {
-            if drawn < *weight {
+        for (service, one) in &self.split {
+            if drawn < weight(*one) {
                 return Some(service);
             }
-            drawn -= weight;
+            drawn -= weight(*one);
         }
         self.split.last().map(|(service, _)| service)
     }
--- a/crates/catkinusher-core/tests/directory.rs
+++ b/crates/catkinusher-core/tests/directory.rs
@@ -125,3 +125,13 @@
     assert!(freshness.within(limit, Time::from_millis(4299)));
     assert!(!freshness.within(limit, Time::from_millis(4300)));
 }
+
+// Guards against a panic on the request path: the sum of these weights is no finite number.
+#[test]
+fn weights_of_any_size_pick_a_service() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for (one, two) in [(f64::MAX, f64::MAX), (1e308, -1e308), (-1.0, 2.0)] {
+        let route = route("wide", "/a/", &[("one", one), ("two", two)]);
+        assert!(route.pick_service(&mut rng).is_some(), "{one} {two}");
+    }
+}
