Drain a data centre whose entry holds a value that cannot be decoded

Callers saw nothing; operators would have: a data centre stayed in use if the entry that drains it held a number out of range or half of a character, as the item counted as unreadable and, if it was there before, as removed.

Only the name of such an entry matters, so its watch decodes leniently, like that of the configuration. Entries of servers stay strict: one that cannot be read names no server to use.

--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -85,7 +85,7 @@
     D: Dialect,
     S: StoreSchema,
 {
-    // The parts of the configuration count by themselves.
+    // The parts of the configuration, and the names of drained data centres, count by themselves.
     let lenient = store.lenient();
     let kept = schema.clone();
     follow_kind::<D, S, _, _>(state, &lenient, move |state| ConfigurationHandler {
@@ -106,7 +106,7 @@
         state,
         schema: PhantomData,
     });
-    follow_kind::<D, S, _, _>(state, store, |state| DrainHandler::<D, S> {
+    follow_kind::<D, S, _, _>(state, &lenient, |state| DrainHandler::<D, S> {
         state,
         data_centres: BTreeSet::new(),
         schema: PhantomData,
