Place prompts of a cell by work

Cause, by the log: all but one of 62 (65 of 229) answers with a long pause ran on an engine that had left the pool for short prompts and answered long ones from then on, and the pool was sized by running answers, so 9 to 14 of 54 engines got all of them.

In a cell, writers are now taken from the end of the order, the pool is sized by the prefill work that arrives, and a prompt goes where its first event is expected soonest and the fewest answers pause for too long.

--- a/crates/catkinusher-core/src/directory/mod.rs
+++ b/crates/catkinusher-core/src/directory/mod.rs
@@ -139,6 +139,15 @@
         }
     }
 
+    /// The longest pause between events that its callers tolerate, if it is known.
+    #[must_use]
+    pub const fn pause(&self) -> Option<Duration> {
+        match self.delivery {
+            Delivery::Whole => None,
+            Delivery::Events { pause } => pause,
+        }
+    }
+
     /// Whether its responses are event streams.
     #[must_use]
     pub const fn is_streaming(&self) -> bool {
--- a/crates/catkinusher-core/src/fleet/place/long.rs
+++ b/crates/catkinusher-core/src/fleet/place/long.rs
@@ -17,6 +17,7 @@
 use super::{Basis, Candidate, Demand, Overload, Placement, Policy};
 use crate::engine::EngineProfile;
 use crate::fleet::{Cost, WorkKind};
+use crate::id::UpstreamId;
 use crate::units::Tokens;
 
 /// The penalty per short answer that the prefill would stall, in milliseconds of prefill.
@@ -145,6 +146,19 @@
         })
     }
 
+    /// The engines that prefill parts of a prompt which an engine outside these answers, at most `count`.
+    pub(super) fn helpers(&self, count: usize) -> Vec<UpstreamId> {
+        let (_, readers) = self.engines.split_at(self.writers);
+        let count = count.min(self.policy.max_helpers);
+        let mut readers = Self::by_disturbance(readers.iter().collect());
+        readers.retain(|candidate| candidate.load.short_requests == 0);
+        readers.truncate(count);
+        readers
+            .iter()
+            .map(|candidate| candidate.id.clone())
+            .collect()
+    }
+
     fn total_tokens(&self) -> Tokens {
         self.demand.prompt + self.demand.answer
     }
@@ -258,18 +272,10 @@
         max_helpers: usize,
     ) -> Vec<&'a Candidate<'a>> {
         let no_shorts = |candidate: &Candidate<'_>| candidate.load.short_requests == 0;
-        let score = |candidate: &Candidate<'_>| {
-            Self::score(candidate)
-                + f64::from(candidate.load.long_requests.min(1)) * BUSY_HELPER_WEIGHT
-        };
-        let mut others: Vec<&Candidate<'_>> = readers
+        let others = readers
             .iter()
-            .filter(|candidate| candidate.id != primary.id)
-            .collect();
-        others.sort_by(|a, b| {
-            let shorts_last = no_shorts(b).cmp(&no_shorts(a));
-            shorts_last.then(score(a).total_cmp(&score(b)))
-        });
+            .filter(|candidate| candidate.id != primary.id);
+        let mut others = Self::by_disturbance(others.collect());
         let parts = self.prefill_time.as_secs_f64() / self.policy.part_target.as_secs_f64();
         let wanted = (parts.ceil() as usize).max(2) - 1;
         let undisturbed = others
@@ -281,6 +287,20 @@
         others
     }
 
+    /// Sorts possible helpers by what a part disturbs there, those without short answers first.
+    fn by_disturbance<'a>(mut engines: Vec<&'a Candidate<'a>>) -> Vec<&'a Candidate<'a>> {
+        let score = |candidate: &Candidate<'_>| {
+            Self::score(candidate)
+                + f64::from(candidate.load.long_requests.min(1)) * BUSY_HELPER_WEIGHT
+        };
+        engines.sort_by(|a, b| {
+            let has_shorts = |candidate: &Candidate<'_>| candidate.load.short_requests > 0;
+            let shorts_last = has_shorts(a).cmp(&has_shorts(b));
+            shorts_last.then(score(a).total_cmp(&score(b)))
+        });
+        engines
+    }
+
     /// Whether the prompt should wait for prefill work on these engines.
     ///
     /// Engines process the newest part first. Making a prompt wait until no
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -10,6 +10,7 @@
 mod long;
 mod sizing;
 mod types;
+mod work;
 
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 pub use self::types::{Authority, Basis, Demand, Overload, Placement, Policy};
 
 use self::long::LongPlacement;
+use self::work::WorkPlacement;
 use super::{Cell, Cost, Entry, Fleet, Load, WorkKind};
 use crate::directory::Service;
 use crate::engine::EngineProfile;
@@ -231,6 +233,16 @@
     // Engines that name a limit come last: a limit counts requests, so it is kept for long prompts
     // and for what the other engines cannot answer.
     engines.sort_by_key(|candidate| (candidate.entry.limit.is_set(), candidate.entry.rank));
+    // A smaller service has too few engines to keep some for short prompts that arrive later.
+    if demand.within.is_some() {
+        let placement = WorkPlacement {
+            profile,
+            demand,
+            policy,
+            now,
+        };
+        return placement.place(&mut engines, pool_sizes, rng);
+    }
     let prefill_time = profile.prefill_time(demand.prompt);
     let shorts = pool_sizes.short_engines(&engines, profile, policy, now);
     if prefill_time < policy.long_threshold {
--- a/crates/catkinusher-core/src/fleet/place/sizing.rs
+++ b/crates/catkinusher-core/src/fleet/place/sizing.rs
@@ -12,6 +12,33 @@
 /// At most one in this many engines for long prompts answers them.
 const WRITER_POOL_DIVISOR: usize = 3;
 
+/// The weight of the prefill work for short prompts beside that for long ones, whose callers bear longer delays.
+const SHORT_WORK_WEIGHT: f64 = 4.0;
+
+/// The time over which the arriving work is averaged, so that the pools follow a change of the mix within half a second.
+const WORK_WINDOW: Duration = Duration::from_millis(700);
+
+/// The mean work that arrives, in engines that it keeps busy.
+///
+/// Older arrivals weigh exponentially less.
+#[derive(Debug, Clone, Copy, Default)]
+struct WorkRate {
+    sum: f64,
+    updated_at: Time,
+}
+
+impl WorkRate {
+    fn decayed(&self, now: Time) -> f64 {
+        let age = now.since(self.updated_at).as_secs_f64() / WORK_WINDOW.as_secs_f64();
+        self.sum * (-age).exp()
+    }
+
+    fn add(&mut self, work: Duration, now: Time) {
+        self.sum = self.decayed(now) + work.as_secs_f64() / WORK_WINDOW.as_secs_f64();
+        self.updated_at = now;
+    }
+}
+
 /// A number of engines that rises immediately and falls only after a delay.
 #[derive(Debug, Clone, Copy, Default)]
 struct DelayedCount {
@@ -37,6 +64,10 @@
 pub(in crate::fleet) struct PoolSizes {
     shorts: DelayedCount,
     writers: DelayedCount,
+    short_work: WorkRate,
+    long_work: WorkRate,
+    /// When the first work arrived.
+    began_at: Option<Time>,
 }
 
 impl PoolSizes {
@@ -48,13 +79,52 @@
         policy: &Policy,
         now: Time,
     ) -> usize {
-        let count = engines.len();
-        let active: u32 = engines
-            .iter()
-            .map(|candidate| candidate.load.short_requests)
-            .sum();
-        let per_engine = f64::from(profile.slots) * policy.fill_ratio;
-        let wanted = (f64::from(active + 1) / per_engine.max(1.0)).ceil() as usize;
+        let wanted = occupied_by_shorts(engines, profile, policy);
+        self.resize_shorts(wanted, engines.len(), policy, now)
+    }
+
+    /// The same, sized by the work that arrives.
+    ///
+    /// Each pool gets the engines that its work keeps busy, and the others are divided by the square
+    /// roots of the weighted works, which minimises the weighted mean delay (square-root
+    /// capacity assignment). A node that has just taken over knows only the running answers.
+    pub(super) fn short_engines_by_work(
+        &mut self,
+        engines: &[Candidate<'_>],
+        profile: &EngineProfile,
+        policy: &Policy,
+        now: Time,
+    ) -> usize {
+        let occupied = occupied_by_shorts(engines, profile, policy);
+        let is_known = self.began_at.is_some_and(|at| now.since(at) >= WORK_WINDOW);
+        let wanted = if is_known {
+            occupied.max(self.wanted_by_work(engines.len(), now))
+        } else {
+            occupied
+        };
+        self.resize_shorts(wanted, engines.len(), policy, now)
+    }
+
+    fn wanted_by_work(&self, count: usize, now: Time) -> usize {
+        let (short, long) = (self.short_work.decayed(now), self.long_work.decayed(now));
+        let spare = (count as f64 - short - long).max(0.0);
+        let (short_root, long_root) = ((short * SHORT_WORK_WEIGHT).sqrt(), long.sqrt());
+        let share = short_root / (short_root + long_root).max(f64::MIN_POSITIVE);
+        (short + spare * share).round() as usize
+    }
+
+    /// Records the prefill work of a prompt that was placed.
+    pub(super) fn on_work(&mut self, is_short: bool, prefill_time: Duration, now: Time) {
+        self.began_at.get_or_insert(now);
+        let rate = if is_short {
+            &mut self.short_work
+        } else {
+            &mut self.long_work
+        };
+        rate.add(prefill_time, now);
+    }
+
+    fn resize_shorts(&mut self, wanted: usize, count: usize, policy: &Policy, now: Time) -> usize {
         let max = count
             .saturating_sub((count / LONG_POOL_DIVISOR).max(1))
             .max(1);
@@ -82,3 +152,17 @@
             .min(max)
     }
 }
+
+/// The number of engines that the running short answers fill.
+fn occupied_by_shorts(
+    engines: &[Candidate<'_>],
+    profile: &EngineProfile,
+    policy: &Policy,
+) -> usize {
+    let active: u32 = engines
+        .iter()
+        .map(|candidate| candidate.load.short_requests)
+        .sum();
+    let per_engine = f64::from(profile.slots) * policy.fill_ratio;
+    (f64::from(active + 1) / per_engine.max(1.0)).ceil() as usize
+}
--- a/crates/catkinusher-core/src/fleet/place/types.rs
+++ b/crates/catkinusher-core/src/fleet/place/types.rs
@@ -87,6 +87,8 @@
     pub answer: Tokens,
     /// The latency objective for its first event.
     pub objective: Duration,
+    /// The longest pause between events that its caller tolerates, if the answer is a stream.
+    pub pause: Option<Duration>,
     /// How long ago the caller first sent the request, as far as is known.
     pub age: Duration,
     /// How long the caller waits for the first event of this attempt.
--- a/crates/catkinusher-core/src/placer/message.rs
+++ b/crates/catkinusher-core/src/placer/message.rs
@@ -24,6 +24,8 @@
     pub answer: Tokens,
     /// The latency objective.
     pub objective: u64,
+    /// The longest pause between events that the caller tolerates.
+    pub pause: Option<u64>,
     /// How long ago the caller first sent the request.
     pub age: u64,
     /// How long the caller waits for the first event.
@@ -43,7 +45,7 @@
     Option<DataCentreId>,
     bool,
     (u64, u64),
-    (u64, u64, u64, u64, u64),
+    (u64, Option<u64>, u64, u64, u64, u64),
     Vec<u32>,
 );
 
@@ -55,7 +57,14 @@
             ask.cell.data_centre,
             ask.forwarded,
             (ask.prompt.get(), ask.answer.get()),
-            (ask.objective, ask.age, ask.patience, ask.waited, ask.left),
+            (
+                ask.objective,
+                ask.pause,
+                ask.age,
+                ask.patience,
+                ask.waited,
+                ask.left,
+            ),
             ask.avoid,
         )
     }
@@ -69,7 +78,7 @@
             data_centre,
             forwarded,
             (prompt, answer),
-            (objective, age, patience, waited, left),
+            (objective, pause, age, patience, waited, left),
             avoid,
         ): AskRow,
     ) -> Self {
@@ -83,6 +92,7 @@
             prompt: Tokens::new(prompt),
             answer: Tokens::new(answer),
             objective,
+            pause,
             age,
             patience,
             waited,
--- a/crates/catkinusher-core/src/placer/mod.rs
+++ b/crates/catkinusher-core/src/placer/mod.rs
@@ -259,6 +259,7 @@
             prompt: ask.prompt,
             answer: ask.answer,
             objective: millis(ask.objective),
+            pause: ask.pause.map(millis),
             age: millis(ask.age) + queued,
             patience: millis(ask.patience),
             waited: millis(ask.waited) + queued,
--- a/crates/catkinusher-core/tests/placer.rs
+++ b/crates/catkinusher-core/tests/placer.rs
@@ -53,6 +53,7 @@
         prompt: Tokens::new(prompt),
         answer: Tokens::new(2000),
         objective: 300,
+        pause: Some(200),
         age: 0,
         patience: 2000,
         waited: 0,
