Leave long prompts of a cell the engines that they need

Cause: short prompts weighed four times as much, one long prompt changed the mean of 0.7 s by five engines, short answers spilled to engines that helped with long prompts, and the room that .72 of the slots leaves for other nodes is not needed where one node places.

The pools are now sized by plain square-root assignment over 2 s, half of the engines stay for long prompts unless short answers fill them to .95, and an engine outside the pool costs as much as the part that it can't help with.

--- a/crates/catkinusher-core/src/fleet/place/sizing.rs
+++ b/crates/catkinusher-core/src/fleet/place/sizing.rs
@@ -12,11 +12,17 @@
 /// At most one in this many engines for long prompts answers them.
 const WRITER_POOL_DIVISOR: usize = 3;
 
-/// The weight of the prefill work for short prompts beside that for long ones, whose callers bear longer delays.
-const SHORT_WORK_WEIGHT: f64 = 4.0;
+/// The fraction of their slots that short answers fill in a cell.
+///
+/// The placing node's own grants count at once, so no room is left for what other nodes place.
+const CELL_FILL_RATIO: f64 = 0.95;
+
+/// One in this many engines stays for long prompts if the short answers do not fill it, as long ones may arrive
+/// after a pause and need many engines at once.
+const IDLE_POOL_DIVISOR: usize = 2;
 
-/// The time over which the arriving work is averaged, so that the pools follow a change of the mix within half a second.
-const WORK_WINDOW: Duration = Duration::from_millis(700);
+/// The time over which the arriving work is averaged; one long prompt in it must not change the sizes by much.
+const WORK_WINDOW: Duration = Duration::from_secs(2);
 
 /// The mean work that arrives, in engines that it keeps busy.
 ///
@@ -79,15 +85,14 @@
         policy: &Policy,
         now: Time,
     ) -> usize {
-        let wanted = occupied_by_shorts(engines, profile, policy);
+        let wanted = occupied_by_shorts(engines, profile, policy.fill_ratio);
         self.resize_shorts(wanted, engines.len(), policy, now)
     }
 
     /// The same, sized by the work that arrives.
     ///
     /// Each pool gets the engines that its work keeps busy, and the others are divided by the square
-    /// roots of the weighted works, which minimises the weighted mean delay (square-root
-    /// capacity assignment). A node that has just taken over knows only the running answers.
+    /// roots of the works, which minimises the mean delay (square-root capacity assignment). A node that has just taken over knows only the running answers.
     pub(super) fn short_engines_by_work(
         &mut self,
         engines: &[Candidate<'_>],
@@ -95,7 +100,7 @@
         policy: &Policy,
         now: Time,
     ) -> usize {
-        let occupied = occupied_by_shorts(engines, profile, policy);
+        let occupied = occupied_by_shorts(engines, profile, CELL_FILL_RATIO);
         let is_known = self.began_at.is_some_and(|at| now.since(at) >= WORK_WINDOW);
         let wanted = if is_known {
             occupied.max(self.wanted_by_work(engines.len(), now))
@@ -107,10 +112,10 @@
 
     fn wanted_by_work(&self, count: usize, now: Time) -> usize {
         let (short, long) = (self.short_work.decayed(now), self.long_work.decayed(now));
-        let spare = (count as f64 - short - long).max(0.0);
-        let (short_root, long_root) = ((short * SHORT_WORK_WEIGHT).sqrt(), long.sqrt());
+        let idle = (count as f64 - short - long).max(0.0);
+        let (short_root, long_root) = (short.sqrt(), long.sqrt());
         let share = short_root / (short_root + long_root).max(f64::MIN_POSITIVE);
-        (short + spare * share).round() as usize
+        ((short + idle * share).round() as usize).min(count - count / IDLE_POOL_DIVISOR)
     }
 
     /// Records the prefill work of a prompt that was placed.
@@ -157,12 +162,12 @@
 fn occupied_by_shorts(
     engines: &[Candidate<'_>],
     profile: &EngineProfile,
-    policy: &Policy,
+    fill_ratio: f64,
 ) -> usize {
     let active: u32 = engines
         .iter()
         .map(|candidate| candidate.load.short_requests)
         .sum();
-    let per_engine = f64::from(profile.slots) * policy.fill_ratio;
+    let per_engine = f64::from(profile.slots) * fill_ratio;
     (f64::from(active + 1) / per_engine.max(1.0)).ceil() as usize
 }
--- a/crates/catkinusher-core/src/fleet/place/work.rs
+++ b/crates/catkinusher-core/src/fleet/place/work.rs
@@ -22,9 +22,6 @@
 /// The fraction of the longest tolerated pause up to which a stall is harmless; reports are a few milliseconds old.
 const SAFE_STALL: f64 = 0.8;
 
-/// The penalty of an engine outside the pool, in milliseconds: parts of long prompts will stall the answer there.
-const OUTSIDE_PENALTY_MS: f64 = 80.0;
-
 /// The penalty of an engine without a free slot; it exceeds all others.
 const FULL_PENALTY_MS: f64 = 10_000.0;
 
@@ -117,6 +114,8 @@
     where
         R: Rng,
     {
+        // An engine with a short answer is lost as a helper for long prompts, which costs them about a part.
+        let outside_ms = millis(self.policy.part_target);
         let is_helper =
             |candidate: &Candidate<'_>| helpers.iter().any(|(id, _)| id == candidate.id);
         let (_, best) = engines
@@ -127,7 +126,7 @@
                 let outside = if index < shorts.max(1) {
                     0.0
                 } else {
-                    OUTSIDE_PENALTY_MS
+                    outside_ms
                 };
                 let score = self.delay_ms(candidate, prefill_time) + outside;
                 (score + rng.random_range(0.0..TIE_WIDTH_MS), candidate)
--- a/crates/catkinusher-core/tests/engines/mod.rs
+++ b/crates/catkinusher-core/tests/engines/mod.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use catkinusher_core::fleet::{Demand, Fleet, Overload, Policy, WorkId};
+use catkinusher_core::directory::Service;
+use catkinusher_core::engine::EngineProfile;
+use catkinusher_core::fleet::{Authority, Demand, Fleet, Overload, Policy, Upstream, WorkId};
 use catkinusher_core::time::Time;
 use catkinusher_core::units::Tokens;
 use rand::{RngExt, SeedableRng};
@@ -11,8 +13,9 @@
 
 use super::site::{model, rates, upstream};
 
-const ENGINES: usize = 16;
 const NODES: usize = 13;
+/// The data centre of the nodes, and of the engines of a cell.
+const CELL: &str = "gent";
 /// The period in which requests arrive, and the end of the simulation, in milliseconds.
 const ARRIVAL_PERIOD: u64 = 20_000;
 const END: u64 = 60_000;
@@ -30,10 +33,72 @@
 /// The policy that chooses the engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Balancer {
+    /// Each node places its own requests on the whole service.
     Fleet,
+    /// One node places all requests of a cell.
+    Cell,
     LeastOutstanding,
 }
 
+/// The engines, and what callers expect of them.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    pub engines: usize,
+    pub profile: EngineProfile,
+    /// The objectives and longest pauses of short prompts, letters and catalogues, in milliseconds.
+    pub limits: [(u64, u64); 3],
+}
+
+impl Deployment {
+    /// The appointment assistant of the users' specification.
+    pub fn appointments() -> Self {
+        Self {
+            engines: 16,
+            profile: rates(),
+            limits: [(300, 200), (1500, 500), (3000, 800)],
+        }
+    }
+
+    /// A cell of the forecast service: uneven demand, small batches and little memory.
+    pub fn forecasts() -> Self {
+        let profile = EngineProfile {
+            slots: 12,
+            kv_capacity: Tokens::new(232_000),
+            step_ms: 1.02,
+            answer_step_ms: 0.002_26,
+            context_step_ms: 0.004_31,
+            prefill_rate: catkinusher_core::units::Rate::per_second(206_000.0),
+            pair_prefill_ms: 0.138,
+            steps_per_pass: 48,
+            ..rates()
+        };
+        Self {
+            engines: 26,
+            profile,
+            limits: [(300, 250), (1500, 600), (3000, 1000)],
+        }
+    }
+
+    fn service(&self) -> Service {
+        Service {
+            engine: Some(self.profile.clone()),
+            ..model()
+        }
+    }
+
+    fn upstreams(&self, balancer: Balancer) -> Vec<Upstream> {
+        let engine = |number| {
+            let mut engine = upstream(number);
+            engine.slots = self.profile.slots;
+            if balancer == Balancer::Cell {
+                engine.data_centre = CELL.parse().unwrap();
+            }
+            engine
+        };
+        (0..self.engines).map(engine).collect()
+    }
+}
+
 /// The results of one class of requests.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Class {
@@ -88,18 +153,20 @@
 }
 
 impl Kind {
-    /// The mean and the spread of the prompt length, the latency objective, the longest pause, and the mean number of events.
-    fn parameters(self) -> (f64, f64, u64, u64, f64) {
+    /// The mean and the spread of the prompt length, and the mean number of events.
+    const fn parameters(self) -> (f64, f64, f64) {
         match self {
-            Self::Short => (4960.0, 0.9, 300, 200, 34.9),
-            Self::Letter => (45_000.0, 0.5, 1500, 500, 20.9),
-            Self::Catalogue => (210_000.0, 0.55, 3000, 800, 17.4),
+            Self::Short => (4960.0, 0.9, 34.9),
+            Self::Letter => (45_000.0, 0.5, 20.9),
+            Self::Catalogue => (210_000.0, 0.55, 17.4),
         }
     }
 }
 
 struct Request {
     kind: Kind,
+    objective: u64,
+    pause: u64,
     node: usize,
     at: u64,
     prompt: u64,
@@ -114,8 +181,8 @@
     done: bool,
 }
 
-#[derive(Default)]
 struct Engine {
+    profile: EngineProfile,
     /// The parts in prefill with the remaining milliseconds of each, the newest last.
     prefills: Vec<(usize, f64)>,
     decodes: Vec<usize>,
@@ -123,19 +190,32 @@
     busy_until: u64,
 }
 
+impl Default for Engine {
+    fn default() -> Self {
+        Self {
+            profile: rates(),
+            prefills: Vec::new(),
+            decodes: Vec::new(),
+            queue: VecDeque::new(),
+            busy_until: 0,
+        }
+    }
+}
+
 fn normal(rng: &mut ChaCha8Rng) -> f64 {
     let (a, b): (f64, f64) = (rng.random_range(1e-9..1.0), rng.random_range(0.0..1.0));
     (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos()
 }
 
-fn arrivals(mix: Mix, rng: &mut ChaCha8Rng) -> Vec<Request> {
+fn arrivals(deployment: &Deployment, mix: Mix, rng: &mut ChaCha8Rng) -> Vec<Request> {
     let mut requests = Vec::new();
     for (kind, rate) in [
         (Kind::Short, mix.short),
         (Kind::Letter, mix.letter),
         (Kind::Catalogue, mix.catalogue),
     ] {
-        let (mean, spread, _, _, events) = kind.parameters();
+        let (mean, spread, events) = kind.parameters();
+        let (objective, pause) = deployment.limits[kind as usize];
         let mut at = 0.0;
         loop {
             at += -rng.random_range(1e-9_f64..1.0).ln() * 1000.0 / rate;
@@ -145,6 +225,8 @@
             let drawn = mean * (spread * normal(rng) - spread * spread / 2.0).exp();
             requests.push(Request {
                 kind,
+                objective,
+                pause,
                 node: rng.random_range(0..NODES),
                 at: at as u64,
                 // Other tests cover prompts that exceed the KV cache.
@@ -166,16 +248,24 @@
 }
 
 /// Simulates one load and returns the results.
-pub fn simulate(mix: Mix, balancer: Balancer, seed: u64) -> Outcome {
+pub fn simulate(deployment: &Deployment, mix: Mix, balancer: Balancer, seed: u64) -> Outcome {
     let policy = &Policy::default();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut requests = arrivals(mix, &mut rng);
-    let mut engines: Vec<Engine> = (0..ENGINES).map(|_| Engine::default()).collect();
-    let mut nodes: Vec<Fleet> = (0..NODES)
-        .map(|_| Fleet::new("gent".parse().unwrap()))
+    let mut requests = arrivals(deployment, mix, &mut rng);
+    let engine = || Engine {
+        profile: deployment.profile.clone(),
+        ..Engine::default()
+    };
+    let mut engines: Vec<Engine> = (0..deployment.engines).map(|_| engine()).collect();
+    let count = if balancer == Balancer::Cell { 1 } else { NODES };
+    let mut nodes: Vec<Fleet> = (0..count)
+        .map(|_| Fleet::new(CELL.parse().unwrap()))
         .collect();
     for node in &mut nodes {
-        node.on_list((0..ENGINES).map(upstream).collect(), false, Time::ZERO);
+        node.on_list(deployment.upstreams(balancer), false, Time::ZERO);
+    }
+    for request in &mut requests {
+        request.node %= count;
     }
     let mut waiting: Vec<usize> = Vec::new();
     let mut next = 0;
@@ -188,6 +278,7 @@
             !try_place(
                 *index,
                 now,
+                deployment,
                 balancer,
                 policy,
                 &mut requests,
@@ -228,6 +319,7 @@
 fn try_place(
     index: usize,
     now: u64,
+    deployment: &Deployment,
     balancer: Balancer,
     policy: &Policy,
     requests: &mut [Request],
@@ -239,8 +331,8 @@
     if now < request.retry_at {
         return false;
     }
-    let (_, _, objective, pause, _) = request.kind.parameters();
-    let prefill = rates().prefill_time(Tokens::new(request.prompt));
+    let (objective, pause) = (request.objective, request.pause);
+    let prefill = deployment.profile.prefill_time(Tokens::new(request.prompt));
     if balancer == Balancer::LeastOutstanding {
         let least = (0..engines.len())
             .min_by_key(|number| engines[*number].outstanding())
@@ -255,16 +347,22 @@
         prompt: Tokens::new(request.prompt),
         answer: Tokens::new(u64::from(request.events) * 46),
         objective: Duration::from_millis(objective),
+        pause: Some(Duration::from_millis(pause)),
         age: waited,
         patience: Duration::from_millis((objective * 4).max(pause * 8).max(2000)),
         waited,
         time_left: Duration::from_secs(15).saturating_sub(waited),
         avoid: Vec::new(),
-        ..Demand::default()
+        within: (balancer == Balancer::Cell).then(|| CELL.parse().unwrap()),
+        authority: if balancer == Balancer::Cell {
+            Authority::Shared
+        } else {
+            Authority::Own
+        },
     };
     let node = &mut nodes[request.node];
     let time = Time::from_millis(now);
-    match node.place(&model(), &demand, policy, time, rng) {
+    match node.place(&deployment.service(), &demand, policy, time, rng) {
         Ok(placed) => {
             request.parts = placed.helpers.len() + 1;
             request
@@ -276,6 +374,7 @@
             engines[request.engine].push(index, part, true);
             for (helper, cost) in &placed.helpers {
                 request.works.push(node.begin(helper, *cost, time));
+                let part = cost.prefill_time.as_secs_f64() * 1e3;
                 engines[number(helper.as_str())].push(index, part, false);
             }
             true
@@ -297,7 +396,7 @@
     }
 
     fn push(&mut self, index: usize, millis: f64, first: bool) {
-        if first && self.decodes.len() + self.prefills.len() >= 16 {
+        if first && self.decodes.len() + self.prefills.len() >= self.profile.slots as usize {
             self.queue.push_back((index, millis));
         } else {
             self.prefills.push((index, millis));
@@ -310,7 +409,7 @@
         if now < self.busy_until {
             return prefilled;
         }
-        while self.decodes.len() + self.prefills.len() < 16
+        while self.decodes.len() + self.prefills.len() < self.profile.slots as usize
             && let Some(next) = self.queue.pop_front()
         {
             self.prefills.push(next);
@@ -324,7 +423,7 @@
             0.0
         } else {
             let answers = self.decodes.len() as u32;
-            rates()
+            self.profile
                 .pass_time(answers, Tokens::new(context))
                 .as_secs_f64()
                 * 1e3
@@ -400,7 +499,7 @@
 fn evaluate(requests: &[Request]) -> Outcome {
     let mut outcome = Outcome::default();
     for request in requests {
-        let (_, _, objective, pause, _) = request.kind.parameters();
+        let (objective, pause) = (request.objective, request.pause);
         let class = match request.kind {
             Kind::Short => &mut outcome.short,
             Kind::Letter => &mut outcome.letter,
--- a/crates/catkinusher-core/tests/fleet_load.rs
+++ b/crates/catkinusher-core/tests/fleet_load.rs
@@ -8,7 +8,7 @@
 mod engines;
 mod site;
 
-use engines::{Balancer, Mix, Outcome, simulate};
+use engines::{Balancer, Deployment, Mix, Outcome, simulate};
 
 const SEEDS: [u64; 2] = [1, 2];
 
@@ -32,9 +32,13 @@
 }
 
 fn run(mix: Mix, balancer: Balancer) -> Outcome {
+    run_on(&Deployment::appointments(), mix, balancer)
+}
+
+fn run_on(deployment: &Deployment, mix: Mix, balancer: Balancer) -> Outcome {
     SEEDS
         .iter()
-        .map(|seed| simulate(mix, balancer, *seed))
+        .map(|seed| simulate(deployment, mix, balancer, *seed))
         .fold(Outcome::default(), Outcome::join)
 }
 
@@ -79,3 +83,38 @@
     let fleet = run(burst_load(), Balancer::Fleet);
     assert_eq!(fleet.unfinished, 0, "every request ended or was refused");
 }
+
+// Load: a calm phase of a cell, whose short prompts were late on a few crowded engines while others idled.
+#[test]
+fn a_cell_keeps_short_prompts_on_time_without_delaying_long_ones() {
+    let forecasts = Deployment::forecasts();
+    let calm = Mix {
+        short: 33.0,
+        letter: 2.2,
+        catalogue: 1.05,
+    };
+    let by_nodes = run_on(&forecasts, calm, Balancer::Fleet);
+    let by_work = run_on(&forecasts, calm, Balancer::Cell);
+    assert!(by_work.short.share() >= 0.97, "{by_work:?}");
+    assert!(by_nodes.short.share() < 0.95, "{by_nodes:?}");
+    assert!(by_work.letter.share() >= 0.95, "{by_work:?}");
+    assert!(by_work.catalogue.share() >= 0.95, "{by_work:?}");
+}
+
+// Load: the mix has turned over to catalogues, which keep three quarters of the engines busy.
+#[test]
+fn a_cell_leaves_long_prompts_the_engines_that_they_need() {
+    let forecasts = Deployment::forecasts();
+    let digests = Mix {
+        short: 12.0,
+        letter: 2.3,
+        catalogue: 3.3,
+    };
+    let by_nodes = run_on(&forecasts, digests, Balancer::Fleet);
+    let by_work = run_on(&forecasts, digests, Balancer::Cell);
+    assert!(by_work.short.share() >= 0.95, "{by_work:?}");
+    assert!(
+        by_work.catalogue.share() >= MIN_RETAINED * by_nodes.catalogue.share(),
+        "{by_work:?} {by_nodes:?}"
+    );
+}
