Limit the numbers of another node's load reports and grants

A load report or a grant with numbers near the largest ones overflowed the sums of loads. Callers would have seen a node with overflow checks panic; without them the load that all other nodes reported for that upstream was forgotten once the odd report was replaced, so the upstream got too many requests.

Cause: Load and Cost took any number of a message, and the sums over all nodes were plain additions. Found by the fuzz test of the decoders. Change: counts, pending prefill and held tokens of a message are limited to what one node can have at one upstream, so that sums over thousands of nodes stay exact and can be taken back; sums of counters saturate.

--- a/crates/catkinusher-core/src/fleet/health.rs
+++ b/crates/catkinusher-core/src/fleet/health.rs
@@ -99,7 +99,7 @@
 
     /// Adds the requests that succeeded and failed since the last report to the moving average.
     pub(super) fn on_outcomes(&mut self, succeeded: u32, failed: u32, now: Time) {
-        let count = succeeded + failed;
+        let count = succeeded.saturating_add(failed);
         if count == 0 {
             return;
         }
--- a/crates/catkinusher-core/src/fleet/load.rs
+++ b/crates/catkinusher-core/src/fleet/load.rs
@@ -6,6 +6,15 @@
 
 use crate::units::Tokens;
 
+/// The most requests of one node at one upstream that a report can name: each takes a port.
+const MAX_REQUESTS: u32 = u16::MAX as u32;
+
+/// The longest prefill that a report or a grant can name; computed ones are at most a year.
+const MAX_PREFILL_MS: u64 = 1 << 35;
+
+/// The most tokens that a report can name; no cache is that large.
+const MAX_HELD_TOKENS: u64 = 1 << 48;
+
 /// The id of an active request, unique within its node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct WorkId(u64);
@@ -48,6 +57,18 @@
     pub held_tokens: Tokens,
 }
 
+impl Cost {
+    /// The cost that another node names, within the range of the costs that nodes compute.
+    #[must_use]
+    pub(crate) fn received(kind: WorkKind, prefill_ms: u64, held_tokens: u64) -> Self {
+        Self {
+            kind,
+            prefill_time: Duration::from_millis(prefill_ms.min(MAX_PREFILL_MS)),
+            held_tokens: Tokens::new(held_tokens),
+        }
+    }
+}
+
 /// The summed cost of the active requests at an upstream, and counters over active and ended ones.
 ///
 /// Nodes report it to their peers many times a second, so it is serialized as a
@@ -97,6 +118,7 @@
 }
 
 impl From<Row> for Load {
+    /// Limits the numbers of another node, so that sums over all nodes do not overflow.
     fn from(
         (
             short_requests,
@@ -111,12 +133,12 @@
         ): Row,
     ) -> Self {
         Self {
-            short_requests,
-            long_requests,
-            parts,
-            pending_prefill_ms,
-            min_pending_prefill_ms,
-            held_tokens,
+            short_requests: short_requests.min(MAX_REQUESTS),
+            long_requests: long_requests.min(MAX_REQUESTS),
+            parts: parts.min(MAX_REQUESTS),
+            pending_prefill_ms: pending_prefill_ms.min(MAX_PREFILL_MS),
+            min_pending_prefill_ms: min_pending_prefill_ms.min(MAX_PREFILL_MS),
+            held_tokens: held_tokens.min(MAX_HELD_TOKENS),
             total_prefill_ms,
             succeeded,
             failed,
@@ -156,9 +178,9 @@
         self.parts += other.parts;
         self.pending_prefill_ms += other.pending_prefill_ms;
         self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
-        self.total_prefill_ms += other.total_prefill_ms;
-        self.succeeded += other.succeeded;
-        self.failed += other.failed;
+        self.total_prefill_ms = self.total_prefill_ms.saturating_add(other.total_prefill_ms);
+        self.succeeded = self.succeeded.saturating_add(other.succeeded);
+        self.failed = self.failed.saturating_add(other.failed);
         self.min_pending_prefill_ms =
             match (self.min_pending_prefill_ms, other.min_pending_prefill_ms) {
                 (0, shortest) | (shortest, 0) => shortest,
@@ -195,7 +217,7 @@
         *self.count_mut(cost.kind) += 1;
         let prefill_ms = cost.prefill_time.as_millis() as u64;
         self.pending_prefill_ms += prefill_ms;
-        self.total_prefill_ms += prefill_ms;
+        self.total_prefill_ms = self.total_prefill_ms.saturating_add(prefill_ms);
         self.held_tokens = self.held_tokens.saturating_add(cost.held_tokens.get());
     }
 
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -101,7 +101,7 @@
     }
 
     fn add(&mut self, millis: u64, now: Time) {
-        self.remaining_ms = self.remaining(now) + millis;
+        self.remaining_ms = self.remaining(now).saturating_add(millis);
         self.updated_at = now;
     }
 }
--- a/crates/catkinusher-core/src/placer/message.rs
+++ b/crates/catkinusher-core/src/placer/message.rs
@@ -1,7 +1,5 @@
 //! The messages between a node that has a request and the node that places it.
 
-use std::time::Duration;
-
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::{Cell, Cost, Load, Overload};
@@ -129,11 +127,7 @@
 
 impl From<PartRow> for Part {
     fn from((upstream, kind, prefill_ms, held_tokens): PartRow) -> Self {
-        let cost = Cost {
-            kind,
-            prefill_time: Duration::from_millis(prefill_ms),
-            held_tokens: Tokens::new(held_tokens),
-        };
+        let cost = Cost::received(kind, prefill_ms, held_tokens);
         Self { upstream, cost }
     }
 }
