Add up the time left of a repeated ask without overflow

The repetition of a waiting ask that names the longest time left overflowed. A placing node with overflow checks would have panicked; without them the time left wraps round to a fraction of a second, and the request is refused as late.

Cause: the time in the queue was added to the time left by a plain addition. Found by the fuzz test of the decoders (left = 2^64 - 1, repeated after 40 ms). Change: the sum saturates.

--- a/crates/catkinusher-core/src/placer/mod.rs
+++ b/crates/catkinusher-core/src/placer/mod.rs
@@ -68,7 +68,7 @@
     /// Takes over the time left from a repetition, as a node that stops has less than it had.
     fn on_repeated(&mut self, ask: &Ask, now: Time) {
         let queued = now.since(self.received_at).as_millis() as u64;
-        self.ask.left = self.ask.left.min(ask.left + queued);
+        self.ask.left = self.ask.left.min(ask.left.saturating_add(queued));
         self.repeated_at = now;
     }
 }
