Bound the heap that odd values of one object take

A configuration of 1 MiB, the largest object of the store, that held a list of values which cannot be decoded took 182 MB of heap on each node that read it. The smallest nodes have 112 MB and would have been killed, all of them with one value, and callers would have got no answer at all.

Cause: the lenient decoder puts an object with the text in place of each odd value, some 700 bytes for as little as two. Found by the fuzz test of the decoders (`[nul,nul,...` in place of an engine, 5,937 bytes). Change: the first 1,000 odd values of an object keep their text. An empty object, which takes no heap and fits nowhere either, stands for each further one.

--- a/crates/catkinusher-platform/src/form/lenient.rs
+++ b/crates/catkinusher-platform/src/form/lenient.rs
@@ -17,10 +17,19 @@
 /// The number of characters of a text that a placeholder keeps.
 const MAX_TEXT: usize = 60;
 
+/// The number of placeholders with a text in one value.
+///
+/// One takes some 700 bytes of heap for as little as two bytes of text, so a list of a megabyte of
+/// them would take more memory than a small node has.
+const MAX_PLACEHOLDERS: usize = 1000;
+
 /// Decodes a text, with placeholders for the values that cannot be decoded.
+///
+/// Those after the first [`MAX_PLACEHOLDERS`] are empty objects, which fit nowhere either.
 #[must_use]
 pub fn decode(text: &[u8]) -> Value {
-    decode_within(text.trim_ascii(), MAX_DEPTH)
+    let mut left = MAX_PLACEHOLDERS;
+    decode_within(text.trim_ascii(), MAX_DEPTH, &mut left)
 }
 
 /// The beginning of the text for which a placeholder stands.
@@ -38,39 +47,43 @@
     Number::from_f64(number.clamp(f64::MIN, f64::MAX))
 }
 
-fn decode_within(text: &[u8], depth: usize) -> Value {
+fn decode_within(text: &[u8], depth: usize, left: &mut usize) -> Value {
     if let Ok(value) = serde_json::from_slice(text) {
         return value;
     }
     let decoded = match depth.checked_sub(1) {
-        Some(below) => decode_object(text, below).or_else(|| decode_array(text, below)),
+        Some(below) => decode_object(text, below, left).or_else(|| decode_array(text, below, left)),
         None => None,
     };
-    decoded.unwrap_or_else(|| placeholder(text))
+    decoded.unwrap_or_else(|| placeholder(text, left))
 }
 
 /// Decodes an object; a field without a name that can be decoded is left out.
-fn decode_object(text: &[u8], depth: usize) -> Option<Value> {
+fn decode_object(text: &[u8], depth: usize, left: &mut usize) -> Option<Value> {
     let fields = parts::fields(text).ok()?;
     let decoded: Map<String, Value> = fields
         .into_iter()
         .filter_map(|(name, value)| {
             let name = serde_json::from_slice(name).ok()?;
-            Some((name, decode_within(value, depth)))
+            Some((name, decode_within(value, depth, left)))
         })
         .collect();
     Some(Value::Object(decoded))
 }
 
-fn decode_array(text: &[u8], depth: usize) -> Option<Value> {
+fn decode_array(text: &[u8], depth: usize, left: &mut usize) -> Option<Value> {
     let elements = parts::elements(text).ok()?;
     let decoded = elements
         .into_iter()
-        .map(|element| decode_within(element, depth));
+        .map(|element| decode_within(element, depth, left));
     Some(Value::Array(decoded.collect()))
 }
 
-fn placeholder(text: &[u8]) -> Value {
+fn placeholder(text: &[u8], left: &mut usize) -> Value {
+    let Some(rest) = left.checked_sub(1) else {
+        return Value::Object(Map::new());
+    };
+    *left = rest;
     // A character is at most four bytes long.
     let start = &text[..text.len().min(MAX_TEXT * 4)];
     let start: String = String::from_utf8_lossy(start)
