Fetch the configuration at the start as a stale read

Cause: before the list of nodes a node took itself for a reader. When a reply told of the revision, it was fetched once more. Once the list was there, no node was a reader for 1.5 s, as each knew itself on probation and relied on others. A reader that had not read yet counted as unable to, and the first query went out 0.1 s after the first poll instead of after the list. Change: a node fetches the configuration in its first poll, as a stale read, before its lists; it waits for the list of nodes before it reads exactly or watches. A reader reads without a probation and in parallel with its fetch. It replies again to those that asked before its first confirmation. A reply that names a revision on its way proves it when it arrives, so no second fetch follows. A fetch alone still confirms nothing. Conclusion: one cheap transfer a node instead of two or three, and readers at once.

--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -54,8 +54,13 @@
 const UNFIT_QUERIES: usize = 3;
 
 /// How long a node that has just started waits for a reply before it reads the store, as a fraction of the interval.
+///
+/// For as long its lack of a confirmation does not show that it cannot read the store.
 const START_FRACTION: f64 = 0.4;
 
+/// What a node that has just started fetches: whichever revision the store has.
+pub const ANY_REVISION: u64 = 0;
+
 /// The multiple of the interval after which a node without a confirmation reads the store itself: two lost queries.
 const OVERDUE_FACTOR: f64 = 1.5;
 
@@ -99,10 +104,13 @@
 pub enum Action {
     /// Read the configuration from the store, as it is now.
     Read,
-    /// Read it as it was at most seconds ago, since a peer has this revision.
+    /// Read it as it was at most seconds ago, since a peer has this revision, or this node has
+    /// just started and takes [`ANY_REVISION`].
     Fetch(u64),
     /// Send a query to a peer, with a serial that its reply repeats.
     Ask(SocketAddr, Serial),
+    /// Reply again to a query of a peer that came before this node had a confirmation.
+    Reply(SocketAddr, Serial),
 }
 
 /// The effect of a reply.
@@ -142,8 +150,13 @@
     interval: Duration,
     freshness: Freshness,
     reading: bool,
+    /// The revision that the fetch in progress is to bring.
+    fetching: Option<u64>,
     /// A peer has this newer revision of the configuration.
     behind: Option<u64>,
+    /// A peer's proof that no revision after this one was in force at that time; it counts as
+    /// soon as this node has the revision.
+    proof: Option<(u64, Time)>,
     /// What was fetched did not suffice.
     must_read: bool,
     started_at: Option<Time>,
@@ -159,6 +172,8 @@
     failures: u32,
     query_number: u64,
     open_queries: Vec<OpenQuery>,
+    /// The last query of each peer that this node could not answer yet, as it has just started.
+    waiting_queries: HashMap<SocketAddr, Serial>,
     /// When the last reply arrived, whatever it told.
     replied_at: Option<Time>,
     /// Nodes that cannot read the store, and until when they are passed over.
@@ -174,7 +189,9 @@
             interval,
             freshness: Freshness::default(),
             reading: false,
+            fetching: None,
             behind: None,
+            proof: None,
             must_read: false,
             started_at: None,
             called_at: Time::ZERO,
@@ -185,6 +202,7 @@
             failures: 0,
             query_number: 0,
             open_queries: Vec::new(),
+            waiting_queries: HashMap::new(),
             replied_at: None,
             unfit: HashMap::new(),
         }
@@ -222,7 +240,8 @@
             }
             is_open
         });
-        if now >= self.query_at {
+        // Before the first list there is nobody to ask, and the first query follows at once on it.
+        if now >= self.query_at && roster.is_listed() {
             self.query_at = now + self.interval.mul_f64(self.query_fraction(now));
             self.query_number += 1;
             let number = self.query_number;
@@ -238,24 +257,55 @@
                 actions.push(Action::Ask(peer, Serial::new(self.process, PROBE)));
             }
         }
+        if self.freshness.age(now).is_some() {
+            let waiting = self.waiting_queries.drain();
+            actions.extend(waiting.map(|(peer, serial)| Action::Reply(peer, serial)));
+        }
+        if self.started_at.is_none() {
+            // Replies and lists tell only whether it is current, so the transfer waits for neither.
+            actions.push(self.fetch(ANY_REVISION, now));
+        }
         let started_at = *self.started_at.get_or_insert(now);
         if self.reading || now < self.read_at {
             return actions;
         }
-        if let Some(revision) = self.behind.take() {
-            actions.push(Action::Fetch(revision));
-        } else if self.must_read || self.is_read_due(roster, started_at, now) {
-            self.must_read = false;
-            actions.push(Action::Read);
-        } else {
+        if self.is_starting_reader(roster, now) {
+            actions.push(self.read(now));
+        } else if self.fetching.is_some() {
             return actions;
+        } else if let Some(revision) = self.behind.take() {
+            actions.push(self.fetch(revision, now));
+        } else if self.must_read || self.is_read_due(roster, started_at, now) {
+            actions.push(self.read(now));
         }
+        actions
+    }
+
+    fn fetch(&mut self, revision: u64, now: Time) -> Action {
+        self.fetching = Some(revision);
+        self.on_call(now);
+        Action::Fetch(revision)
+    }
+
+    fn read(&mut self, now: Time) -> Action {
         self.reading = true;
+        self.must_read = false;
+        self.on_call(now);
+        Action::Read
+    }
+
+    fn on_call(&mut self, now: Time) {
         self.called_at = now;
         self.peers_served = self
             .peer_read_at
             .is_some_and(|read_at| now.since(read_at) < self.interval);
-        actions
+    }
+
+    /// Whether this node is a reader without a confirmation.
+    ///
+    /// All others wait for its first one, so its read does not wait for the fetch.
+    fn is_starting_reader(&self, roster: &Roster, now: Time) -> bool {
+        self.freshness.age(now).is_none() && self.is_reader(roster, now)
     }
 
     /// Whether this node should read the store, as a reader or for itself.
@@ -263,7 +313,7 @@
         let Some(age) = self.freshness.age(now) else {
             // A reader may confirm the first configuration sooner than the store.
             let patience = self.interval.mul_f64(START_FRACTION);
-            return now.since(started_at) >= patience || self.is_reader(roster, now);
+            return now.since(started_at) >= patience;
         };
         let fraction = match self
             .readers(roster, now)
@@ -296,7 +346,7 @@
         let most = count + self.unfit.len() + 1;
         let mut fit = 0;
         roster
-            .holders(&duty(), most, now)
+            .ready_holders(&duty(), most, now)
             .into_iter()
             .enumerate()
             .filter(|(rank, node)| {
@@ -349,9 +399,13 @@
     }
 
     /// Whether this node reads the store for others.
+    ///
+    /// A node that has just started knows that only from the list of nodes; without one for a
+    /// while, it reads for itself.
     #[must_use]
     pub fn is_reader(&self, roster: &Roster, now: Time) -> bool {
-        self.readers(roster, now).contains(&roster.own())
+        let is_known = roster.is_listed() || !self.is_starting(now);
+        is_known && self.readers(roster, now).contains(&roster.own())
     }
 
     /// The interval at which to call [`Self::poll`].
@@ -360,22 +414,52 @@
         self.interval.mul_f64(LATE_QUERY_FRACTION)
     }
 
-    /// Records a successful read of the configuration that began at `began`.
-    pub fn on_read(&mut self, began: Time) {
+    /// Records a successful read that began at `began`, at a node whose configuration now has `revision`.
+    pub fn on_read(&mut self, began: Time, revision: u64) {
         self.freshness.on_confirmed(began);
         self.reading = false;
         self.failures = 0;
+        self.on_revision(revision);
     }
 
-    /// Records the end of a fetch; `current` tells whether this node now has the revision that it asked for.
-    pub fn on_fetch(&mut self, current: bool) {
-        self.reading = false;
-        self.must_read |= !current;
+    /// Records the end of a fetch, at a node whose configuration now has `revision`, and returns
+    /// whether that suffices.
+    ///
+    /// A fetch confirms nothing by itself, as the answer may be old.
+    pub fn on_fetch(&mut self, revision: u64) -> bool {
+        let wanted = match self.fetching.take() {
+            // A reply during the first fetch is the first to tell what is needed.
+            Some(ANY_REVISION) => self.behind.take(),
+            wanted => wanted,
+        };
+        let is_old = wanted.is_some_and(|wanted| revision < wanted);
+        self.must_read |= is_old;
+        self.on_revision(revision);
+        !is_old
+    }
+
+    /// Applies what peers have told about revisions up to the one that this node now has.
+    fn on_revision(&mut self, revision: u64) {
+        self.behind = self.behind.filter(|newer| *newer > revision);
+        if let Some((_, confirmed_at)) = self.proof.filter(|(newest, _)| *newest <= revision) {
+            self.freshness.on_confirmed(confirmed_at);
+            self.proof = None;
+        }
     }
 
     /// Records a failed read.
     pub fn on_failure(&mut self, roster: &Roster, now: Time) {
         self.reading = false;
+        self.back_off(roster, now);
+    }
+
+    /// Records a failed fetch.
+    pub fn on_fetch_failure(&mut self, roster: &Roster, now: Time) {
+        self.fetching = None;
+        self.back_off(roster, now);
+    }
+
+    fn back_off(&mut self, roster: &Roster, now: Time) {
         if self.is_outage_over() {
             self.end_pause();
             return;
@@ -406,20 +490,45 @@
         self.read_at = Time::ZERO;
     }
 
-    /// Builds the reply to a query.
+    /// Builds the reply to a query of a peer.
     ///
-    /// A node without a confirmation replies, too, so that it does not count as silent.
+    /// A node without a confirmation replies, too, so that it does not count as silent. If it has
+    /// just started, [`Self::poll`] lets it reply again as soon as it has one: after a loss of
+    /// all nodes, each of them waits for the first read of a reader.
+    #[must_use]
+    pub fn on_query(
+        &mut self,
+        peer: SocketAddr,
+        serial: Serial,
+        known: StorePosition,
+        now: Time,
+    ) -> ConfirmReply {
+        let reply = self.reply(serial, known, now);
+        if reply.age.is_none() && !reply.failing {
+            self.waiting_queries.insert(peer, serial);
+        }
+        reply
+    }
+
+    /// Builds a reply with what this node can tell now.
     #[must_use]
     pub fn reply(&self, serial: Serial, known: StorePosition, now: Time) -> ConfirmReply {
         let age = self.freshness.age(now);
         ConfirmReply {
             serial,
             age: age.map(|age| age.as_millis() as u64 + 1),
-            failing: self.failures > 0 || age.is_none(),
+            failing: self.failures > 0 || (age.is_none() && !self.is_starting(now)),
             known,
         }
     }
 
+    /// Whether this node has started so recently that it need not have a confirmation yet.
+    fn is_starting(&self, now: Time) -> bool {
+        let patience = self.interval.mul_f64(START_FRACTION);
+        self.started_at
+            .is_none_or(|started_at| now.since(started_at) < patience)
+    }
+
     /// Whether the last confirmation is so old that this node reads the store itself.
     #[must_use]
     pub fn is_overdue(&self, now: Time) -> bool {
@@ -435,11 +544,14 @@
             .open_queries
             .iter()
             .position(|query| Some(query.number) == number);
-        let Some(OpenQuery { sent_at, peer, .. }) =
-            open.map(|index| self.open_queries.swap_remove(index))
-        else {
+        let Some(index) = open else {
             return ReplyOutcome::Ignored;
         };
+        let OpenQuery { sent_at, peer, .. } = self.open_queries[index];
+        // A peer that has just started replies again once it has a confirmation.
+        if reply.age.is_some() || reply.failing {
+            self.open_queries.swap_remove(index);
+        }
         self.replied_at = Some(now);
         if reply.failing {
             self.unfit.insert(peer, now + self.interval * UNFIT_FACTOR);
@@ -451,11 +563,15 @@
             Time::from_micros(sent_at.as_micros().saturating_sub(age))
         });
         self.peer_read_at = self.peer_read_at.max(confirmed_at);
-        if self.failures > 0 && !self.reading && self.is_outage_over() {
+        let is_calling = self.reading || self.fetching.is_some();
+        if self.failures > 0 && !is_calling && self.is_outage_over() {
             self.end_pause();
         }
         if reply.known.revision > revision {
             self.behind = Some(reply.known.revision);
+            if let Some(confirmed_at) = confirmed_at {
+                self.proof = Some((reply.known.revision, confirmed_at));
+            }
             // A store that turns this node away is not called more often for it.
             if self.failures == 0 {
                 self.read_at = Time::ZERO;
--- a/crates/catkinusher-core/src/roster/mod.rs
+++ b/crates/catkinusher-core/src/roster/mod.rs
@@ -87,6 +87,8 @@
 pub struct Roster {
     own: Member,
     entries: HashMap<SocketAddr, Entry>,
+    /// Whether the registered nodes have been listed.
+    listed: bool,
     /// When this node itself may carry duties.
     own_eligible: Time,
     /// All nodes by rank for each duty that was asked for.
@@ -121,6 +123,7 @@
         Self {
             own,
             entries: HashMap::new(),
+            listed: false,
             own_eligible: now + PROBATION,
             ranks: RefCell::default(),
         }
@@ -148,6 +151,7 @@
             entries.insert(entry.member.address, entry);
         }
         self.entries = entries;
+        self.listed = true;
         self.ranks.borrow_mut().clear();
     }
 
@@ -215,6 +219,14 @@
         self.entries.len() + 1
     }
 
+    /// Whether the registered nodes have been listed since the start.
+    ///
+    /// Until then the best-ranked node that this one knows is itself.
+    #[must_use]
+    pub const fn is_listed(&self) -> bool {
+        self.listed
+    }
+
     /// Whether no other node is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -275,6 +287,18 @@
         holders
     }
 
+    /// As [`Self::holders`], for a duty that needs no knowledge of the load: this node carries it
+    /// from its start.
+    ///
+    /// After a loss of all nodes no node has a probation in the view of the others, so they
+    /// rely on the best-ranked ones at once.
+    #[must_use]
+    pub fn ready_holders(&self, duty: &Duty, count: usize, now: Time) -> Vec<SocketAddr> {
+        self.best(duty, count, |node| {
+            node == self.own.address || self.is_eligible(node, now)
+        })
+    }
+
     /// The nodes that need to know what the holders of a duty know: the holders,
     /// and nodes that will replace one of them as soon as their probation is over.
     #[must_use]
--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use catkinusher_core::confirm::{
-    Action, ConfirmReply, Confirmer, ReplyOutcome, StorePosition, WatchProgress,
+    ANY_REVISION, Action, ConfirmReply, Confirmer, ReplyOutcome, StorePosition, WatchProgress,
 };
 use catkinusher_core::id::{Incarnation, Serial};
 use catkinusher_core::object::Version;
@@ -34,6 +34,7 @@
     /// The time at which each revision was written.
     written: Vec<u64>,
     reads: u64,
+    fetches: u64,
     rng: ChaCha8Rng,
     network: Network,
 }
@@ -46,6 +47,8 @@
     max_read_ms: u64,
     /// How long a read of a silent store takes to fail, or `None` if it fails like any other.
     timeout_ms: Option<u64>,
+    /// The most revisions that the answer to a fetch may lack.
+    max_lag: u64,
 }
 
 const RELIABLE: Network = Network {
@@ -53,6 +56,7 @@
     delay_probability: 0.0,
     max_read_ms: 20,
     timeout_ms: None,
+    max_lag: 2,
 };
 
 const UNRELIABLE: Network = Network {
@@ -60,6 +64,7 @@
     delay_probability: 0.05,
     max_read_ms: 400,
     timeout_ms: None,
+    max_lag: 2,
 };
 
 fn address(node: usize) -> SocketAddr {
@@ -92,6 +97,7 @@
             in_transit: Vec::new(),
             written: vec![0],
             reads: 0,
+            fetches: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             network,
         }
@@ -120,11 +126,8 @@
             match message {
                 Message::Query(to, from, serial) if alive(to) => {
                     self.rosters[to].on_heard(address(from), at);
-                    let known = StorePosition {
-                        revision: self.known[to],
-                        ..StorePosition::default()
-                    };
-                    let reply = self.nodes[to].reply(serial, known, at);
+                    let known = self.position(to);
+                    let reply = self.nodes[to].on_query(address(from), serial, known, at);
                     self.send(now, Message::Reply(to, from, reply));
                 }
                 Message::Reply(from, to, reply) if alive(to) => {
@@ -133,16 +136,18 @@
                 }
                 Message::Read(node, began, Some(revision)) if alive(node) => {
                     self.known[node] = self.known[node].max(revision);
-                    self.nodes[node].on_read(began);
+                    self.nodes[node].on_read(began, self.known[node]);
                 }
                 Message::Fetched(node, Some(revision)) if alive(node) => {
                     self.known[node] = self.known[node].max(revision);
-                    let newest = self.written.len() as u64 - 1;
-                    self.nodes[node].on_fetch(self.known[node] == newest);
+                    let _suffices = self.nodes[node].on_fetch(self.known[node]);
                 }
-                Message::Read(node, _, None) | Message::Fetched(node, None) if alive(node) => {
+                Message::Read(node, _, None) if alive(node) => {
                     self.nodes[node].on_failure(&self.rosters[node], at);
                 }
+                Message::Fetched(node, None) if alive(node) => {
+                    self.nodes[node].on_fetch_failure(&self.rosters[node], at);
+                }
                 _ => {}
             }
         }
@@ -162,25 +167,42 @@
                     }
                     Action::Fetch(_) => {
                         // An old answer has any earlier revision, and confirms nothing.
+                        self.fetches += 1;
                         let newest = self.written.len() as u64 - 1;
-                        let revision =
-                            store(node).then(|| newest - self.rng.random_range(0..=newest.min(2)));
+                        let lag = newest.min(self.network.max_lag);
+                        let revision = store(node).then(|| newest - self.rng.random_range(0..=lag));
                         let took = self.read_time(revision.is_some());
                         self.in_transit
                             .push((now + took, Message::Fetched(node, revision)));
                     }
                     Action::Ask(peer, serial) => {
-                        let to = (0..self.nodes.len())
-                            .find(|other| address(*other) == peer)
-                            .unwrap();
+                        let to = self.number(peer);
                         self.send(now, Message::Query(to, node, serial));
                     }
+                    Action::Reply(peer, serial) => {
+                        let to = self.number(peer);
+                        let reply = self.nodes[node].reply(serial, self.position(node), at);
+                        self.send(now, Message::Reply(node, to, reply));
+                    }
                 }
             }
         }
         self.check(now);
     }
 
+    fn number(&self, node: SocketAddr) -> usize {
+        (0..self.nodes.len())
+            .find(|other| address(*other) == node)
+            .unwrap()
+    }
+
+    fn position(&self, node: usize) -> StorePosition {
+        StorePosition {
+            revision: self.known[node],
+            ..StorePosition::default()
+        }
+    }
+
     fn read_time(&mut self, answered: bool) -> u64 {
         let took = self.rng.random_range(5..self.network.max_read_ms);
         self.network
@@ -326,14 +348,15 @@
         let actions = node.poll(roster, ms(now));
         actions.into_iter().find_map(|action| match action {
             Action::Ask(_, serial) => Some(serial),
-            Action::Read | Action::Fetch(_) => None,
+            _ => None,
         })
     };
     let first = query(&mut node, &mut roster, 0).unwrap();
-    node.on_read(ms(0));
+    node.on_read(ms(0), 7);
+    assert!(node.on_fetch(7));
     roster.on_heard(address(1), ms(1000));
     let second = query(&mut node, &mut roster, 1000).unwrap();
-    node.on_read(ms(1000));
+    node.on_read(ms(1000), 7);
     let reply = |serial, revision| ConfirmReply {
         serial,
         age: Some(100),
@@ -356,7 +379,7 @@
         ReplyOutcome::Behind
     );
     assert!(node.poll(&mut roster, ms(1001)).contains(&Action::Fetch(8)));
-    node.on_fetch(false);
+    assert!(!node.on_fetch(7));
     assert!(
         node.poll(&mut roster, ms(1002)).contains(&Action::Read),
         "what was fetched is too old"
@@ -469,3 +492,135 @@
     late.retain(|(_, behind)| *behind > 0);
     assert_eq!(late, [], "seeds and nodes that lack the newest revision");
 }
+
+/// A reply that proves that `revision` was the newest `age` milliseconds ago.
+fn proof(serial: Serial, revision: u64, age: u64) -> ConfirmReply {
+    ConfirmReply {
+        serial,
+        age: Some(age),
+        failing: false,
+        known: StorePosition {
+            revision,
+            ..StorePosition::default()
+        },
+    }
+}
+
+/// The number of a node among `count` that is a reader, or that is none.
+fn node_that(is_reader: bool, count: usize) -> usize {
+    let one = Confirmer::new(Incarnation::new(1), INTERVAL);
+    (0..count)
+        .find(|node| one.is_reader(&roster(*node, count), Time::ZERO) == is_reader)
+        .unwrap()
+}
+
+#[test]
+fn a_node_that_has_just_started_fetches_before_it_knows_any_peer() {
+    // It read the store at the full price as if it were a reader, and fetched the same revision
+    // again when a reply told of it.
+    let ms = Time::from_millis;
+    let own = node_that(false, 92);
+    let mut node = Confirmer::new(Incarnation::new(1), INTERVAL);
+    let mut roster = Roster::new(member(own), Time::ZERO);
+    assert_eq!(
+        node.poll(&mut roster, ms(0)),
+        [Action::Fetch(ANY_REVISION)],
+        "neither a read nor a query"
+    );
+    assert_eq!(node.poll(&mut roster, ms(20)), []);
+    roster.on_list((0..92).map(member).collect(), ms(40));
+    let actions = node.poll(&mut roster, ms(40));
+    let [Action::Ask(_, serial)] = actions[..] else {
+        panic!("the first query follows at once on the list: {actions:?}");
+    };
+    let outcome = node.on_reply(&proof(serial, 7, 10), 0, ms(60));
+    assert_eq!(outcome, ReplyOutcome::Behind);
+    assert_eq!(node.poll(&mut roster, ms(61)), [], "it is on its way");
+    assert_eq!(node.freshness().age(ms(90)), None);
+    assert!(node.on_fetch(7));
+    let age = node.freshness().age(ms(90));
+    assert_eq!(age, Some(Duration::from_millis(60)), "since 30 ms");
+    assert_eq!(node.poll(&mut roster, ms(91)), [], "no further call");
+}
+
+#[test]
+fn a_fetch_confirms_nothing_by_itself() {
+    let ms = Time::from_millis;
+    let own = node_that(false, 92);
+    let mut node = Confirmer::new(Incarnation::new(1), INTERVAL);
+    let mut roster = roster(own, 92);
+    let actions = node.poll(&mut roster, ms(0));
+    let [Action::Ask(_, serial), Action::Fetch(ANY_REVISION)] = actions[..] else {
+        panic!("{actions:?}");
+    };
+    let _outcome = node.on_reply(&proof(serial, 8, 10), 0, ms(20));
+    assert!(!node.on_fetch(7), "the answer of the store was old");
+    assert_eq!(node.freshness().age(ms(30)), None);
+    assert_eq!(node.poll(&mut roster, ms(31)), [Action::Read]);
+    node.on_read(ms(31), 8);
+
+    let mut node = Confirmer::new(Incarnation::new(1), INTERVAL);
+    let _actions = node.poll(&mut roster, ms(0));
+    assert!(node.on_fetch(7));
+    assert_eq!(node.freshness().age(ms(30)), None, "no reply has arrived");
+}
+
+#[test]
+fn a_reader_that_has_just_started_reads_while_it_fetches() {
+    // All other nodes wait for its confirmation.
+    let ms = Time::from_millis;
+    let own = node_that(true, 92);
+    let mut node = Confirmer::new(Incarnation::new(1), INTERVAL);
+    let mut roster = Roster::new(member(own), Time::ZERO);
+    assert_eq!(
+        node.poll(&mut roster, ms(0)),
+        [Action::Fetch(ANY_REVISION)],
+        "it does not know yet that it is a reader"
+    );
+    roster.on_list((0..92).map(member).collect(), ms(40));
+    assert!(node.poll(&mut roster, ms(40)).contains(&Action::Read));
+    let query = Serial::new(Incarnation::new(5), 1);
+    let reply = node.on_query(address(90), query, StorePosition::default(), ms(50));
+    assert_eq!((reply.age, reply.failing), (None, false), "it may succeed");
+    assert!(node.on_fetch(7));
+    node.on_read(ms(40), 7);
+    assert_eq!(
+        node.poll(&mut roster, ms(60)),
+        [Action::Reply(address(90), query)]
+    );
+    assert_eq!(node.poll(&mut roster, ms(61)), [], "it replies once");
+}
+
+#[test]
+fn after_a_loss_of_all_nodes_each_is_confirmed_soon_and_only_readers_read() {
+    const COUNT: usize = 92;
+    const CONFIGURATION_BOUND: u64 = 250;
+    let network = Network {
+        max_lag: 0,
+        ..RELIABLE
+    };
+    for seed in 0..20 {
+        let mut simulation = Simulation::new(COUNT, seed, network);
+        simulation.written.push(0);
+        simulation.rosters = (0..COUNT)
+            .map(|node| Roster::new(member(node), Time::ZERO))
+            .collect();
+        let mut lists = ChaCha8Rng::seed_from_u64(seed + 1000);
+        let listed_at: Vec<u64> = (0..COUNT)
+            .map(|_| lists.random_range(15..90_u64).next_multiple_of(STEP))
+            .collect();
+        for now in (0..=CONFIGURATION_BOUND).step_by(STEP as usize) {
+            for node in (0..COUNT).filter(|node| listed_at[*node] == now) {
+                let members = (0..COUNT).map(member).collect();
+                simulation.rosters[node].on_list(members, Time::from_millis(now));
+            }
+            simulation.step(now, true, |_| true);
+        }
+        assert_eq!(simulation.fetches, COUNT as u64, "one each, seed {seed}");
+        assert_eq!(simulation.reads, 3, "one for each reader, seed {seed}");
+        let confirmed = |one: &&Confirmer| one.freshness().age(Time::ZERO).is_some();
+        let count = simulation.nodes.iter().filter(confirmed).count();
+        // Of the first queries and replies, one in fifty is lost.
+        assert!(count >= COUNT - 8, "{count} are confirmed, seed {seed}");
+    }
+}
--- a/crates/catkinusher-core/tests/processes.rs
+++ b/crates/catkinusher-core/tests/processes.rs
@@ -34,7 +34,7 @@
         let actions = node.poll(&mut roster, ms(2000));
         let query = actions.into_iter().find_map(|action| match action {
             Action::Ask(_, serial) => Some(serial),
-            Action::Read | Action::Fetch(_) => None,
+            _ => None,
         });
         (node, query.unwrap())
     };
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -3,6 +3,7 @@
 //! [`Confirmer`](catkinusher_core::confirm::Confirmer) decides what to do; this
 //! module carries out the reads and queries.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -25,13 +26,13 @@
     state: &Arc<State<D>>,
     store: &Store<S::Form>,
     schema: &S,
-    socket: Arc<UdpSocket>,
+    socket: &Arc<UdpSocket>,
 ) where
     D: Dialect,
     S: StoreSchema,
 {
     let store = store.at(Priority::Configuration).lenient();
-    let schema = schema.clone();
+    let (schema, socket) = (schema.clone(), Arc::clone(socket));
     supervise::spawn(state, "confirm", move |state| {
         run(state, store.clone(), schema.clone(), Arc::clone(&socket))
     });
@@ -64,6 +65,12 @@
                     let seen = Feed::ALL.map(|feed| state.feeds.upto(feed)).to_vec();
                     peers::send(&socket, &Message::ConfirmQuery(serial, seen), peer);
                 }
+                Action::Reply(peer, serial) => {
+                    let known = state.view().position();
+                    let now = clock::boot_time();
+                    let reply = state.confirmer().reply(serial, known, now);
+                    peers::send(&socket, &Message::ConfirmReply(reply), peer);
+                }
             }
         }
         let now = state.now();
@@ -91,7 +98,8 @@
                 .is_none_or(|one| watch::apply_configuration(state, schema, &one.name, one.value));
             if is_current {
                 state.metrics.on_call("confirm", "answered");
-                on_confirmed(state, |confirmer| confirmer.on_read(began));
+                let revision = state.view().position().revision;
+                on_confirmed(state, |confirmer| confirmer.on_read(began, revision));
             } else {
                 state.metrics.on_call("confirm", "bad");
                 let mut confirmer = state.confirmer();
@@ -110,9 +118,10 @@
             state.metrics.on_call("confirm", "failed");
         }
     }
+    state.notifiers.confirm.notify_one();
 }
 
-/// Reads a revision that a peer has, which confirms nothing, as the answer may be old.
+/// Reads a revision that a peer has, or any, which confirms nothing, as the answer may be old.
 async fn fetch<D, S>(state: &State<D>, store: &Store<S::Form>, schema: &S, revision: u64)
 where
     D: Dialect,
@@ -126,26 +135,26 @@
                 let _applied =
                     watch::apply_configuration(state, schema, &object.name, object.value);
             }
-            let current = state.view().position().revision >= revision;
-            state
-                .metrics
-                .on_call("fetch", if current { "answered" } else { "old" });
-            state.confirmer().on_fetch(current);
+            let fetched = state.view().position().revision;
+            let suffices = on_confirmed(state, |confirmer| confirmer.on_fetch(fetched));
+            let result = if suffices { "answered" } else { "old" };
+            state.metrics.on_call("fetch", result);
         }
         Err(error) => {
             debug!("confirm: cannot fetch revision {revision}: {error}");
             state.metrics.on_call("fetch", "failed");
             let mut confirmer = state.confirmer();
-            confirmer.on_failure(&state.roster(), clock::boot_time());
+            confirmer.on_fetch_failure(&state.roster(), clock::boot_time());
         }
     }
     state.notifiers.confirm.notify_one();
 }
 
 /// Replies to a peer's confirmation query.
-pub(super) fn reply_to_peer<D>(state: &State<D>, serial: Serial) -> ConfirmReply {
+pub(super) fn reply_to_peer<D>(state: &State<D>, peer: SocketAddr, serial: Serial) -> ConfirmReply {
     let known = state.view().position();
-    state.confirmer().reply(serial, known, clock::boot_time())
+    let now = clock::boot_time();
+    state.confirmer().on_query(peer, serial, known, now)
 }
 
 /// Handles a peer's reply to a confirmation query.
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -101,10 +101,11 @@
                 Err(error) => warn!(event = "metrics", outcome = "not-served", "{error:#}"),
             }
         }
-        watch::start(&self.state, &self.store, &self.schema);
         let socket = peers::start(&self.state, &self.store, &self.schema).await?;
+        // The configuration is the largest object that requests wait for, so it is read first.
+        confirm::start(&self.state, &self.store, &self.schema, &socket);
+        watch::start(&self.state, &self.store, &self.schema);
         quarantine::start::<D, S>(&self.state, &self.store, &socket);
-        confirm::start(&self.state, &self.store, &self.schema, socket);
         let serving = tokio::spawn(front::serve(Arc::clone(&self.state), listener));
         stop::drain_on_signal(&self.state, serving).await?;
         peers::unregister(&self.state, &self.store, &self.schema).await;
--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -157,7 +157,7 @@
         match ciborium::from_reader(&bytes[..length]) {
             Ok(Message::Report(report)) => senders.on_report(&state, report),
             Ok(Message::ConfirmQuery(serial, seen)) => {
-                let reply = confirm::reply_to_peer(&state, serial);
+                let reply = confirm::reply_to_peer(&state, from, serial);
                 send(&socket, &Message::ConfirmReply(reply), from);
                 for (feed, seen) in Feed::ALL.into_iter().zip(seen) {
                     let Some(batches) = state.feeds.since(feed, seen) else {
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -36,6 +36,9 @@
 /// How often a node that does not watch the store checks whether it has become a reader.
 const ROLE_PERIOD: Duration = Duration::from_secs(1);
 
+/// The same before the list of nodes tells which nodes are readers.
+const START_ROLE_PERIOD: Duration = Duration::from_millis(50);
+
 /// The timeout of a call that only catches up, the shortest that the store accepts.
 const MIN_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 
@@ -144,7 +147,7 @@
     loop {
         if F::FEED.is_none() && !state.is_reader() {
             // Only readers watch the configuration; for others it comes with the confirmations.
-            state.timers.after(ROLE_PERIOD).await;
+            state.timers.after(role_period(&state)).await;
             continue;
         }
         let mut catch_up = must_be_current;
@@ -215,6 +218,14 @@
     }
 }
 
+fn role_period<D>(state: &State<D>) -> Duration {
+    if state.roster().is_listed() {
+        ROLE_PERIOD
+    } else {
+        START_ROLE_PERIOD
+    }
+}
+
 /// Why a node that follows the readers has stopped waiting.
 enum Followed {
     /// It has applied changes, or its role may have changed.
@@ -233,7 +244,7 @@
         return Followed::Behind;
     };
     tokio::select! {
-        () = state.timers.after(ROLE_PERIOD) => {}
+        () = state.timers.after(role_period(state)) => {}
         () = state.feeds.arrived(feed) => {
             for batch in state.feeds.take(feed) {
                 if !state.feeds.continues(feed, &batch) {
@@ -644,10 +655,15 @@
             .map(|(name, member)| (name.clone(), member.address))
             .collect();
         let mut roster = self.state.roster();
+        let is_first = !roster.is_listed();
         roster.on_list(members.into_values().collect(), clock::boot_time());
         let count = roster.len();
         drop(roster);
         self.state.fleet().on_node_count(count);
+        if is_first {
+            // It tells which nodes are readers.
+            self.state.notifiers.confirm.notify_one();
+        }
     }
 
     fn on_event(&mut self, event: Event<Value>, _outage: bool) {
