Hold requests at a node that has just started until it has its configuration

Cause: `admit` refused each request until the first confirmation. Change: until 600 ms after the start of the process a request waits for the first trusted configuration and the list of upstreams, before its body is read. A cancellation token wakes all waiting requests. The wait also ends at the request's own deadline (504, not run) and when the node stops (503, not run). A node that has had a trusted configuration refuses at once as before. Metric `catkinusher_start_waits_total{result}`. Conclusion: requests wait only where waiting can help.

--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -213,6 +213,7 @@
     // Others get what changed from the readers.
     let reads = !confirmer.hears_readers(now) || confirmer.is_reader(&state.roster(), now);
     drop(confirmer);
+    state.note_start();
     if regained {
         info!(event = "store", outcome = "confirmed");
         state.regained_at.store(now.as_micros(), Ordering::Relaxed);
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -24,6 +24,7 @@
 use super::dialect::{Ask, Dialect};
 use super::open::{OpenRequest, Stage};
 use super::relay;
+use super::starting;
 use super::state::State;
 use super::trials::Trial;
 use crate::forward::plain::headers::strip_hop_headers;
@@ -32,7 +33,7 @@
 const NO_CONFIGURATION_RETRY_AFTER: Span = Span::from_millis(200);
 
 /// The retry delay given to callers when this node stops; other nodes go on.
-const STOP_RETRY_AFTER: Span = Span::from_millis(100);
+pub(super) const STOP_RETRY_AFTER: Span = Span::from_millis(100);
 
 /// The maximum size of an answer that is not streamed, in bytes; it is buffered whole, and a
 /// larger one counts as broken.
@@ -181,6 +182,10 @@
     })?;
     let id = ask.id.to_str().unwrap_or("-").to_owned();
     let fail = |refusal| (refusal, id.clone());
+    let patience = ask.patience.unwrap_or(Duration::MAX);
+    starting::wait(state, received, patience)
+        .await
+        .map_err(fail)?;
     let trusted = state.trusts_configuration();
     let directory = state.view().directory.clone();
     let no_configuration = || Refusal::NoConfiguration {
--- a/crates/catkinusherd/src/gateway/metrics.rs
+++ b/crates/catkinusherd/src/gateway/metrics.rs
@@ -34,6 +34,12 @@
     result: &'static str,
 }
 
+/// Labels of the counter of requests that waited for the first configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StartLabels {
+    result: &'static str,
+}
+
 /// The values of the gauges when the metrics are read.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct GaugeValues {
@@ -51,6 +57,7 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     calls: Family<CallLabels, Counter>,
+    start_waits: Family<StartLabels, Counter>,
     first_event_seconds: Histogram,
     answer_seconds: Histogram,
     revision: Gauge,
@@ -68,6 +75,7 @@
             registry: Registry::with_prefix("catkinusher"),
             requests: Family::default(),
             calls: Family::default(),
+            start_waits: Family::default(),
             first_event_seconds: Histogram::new(BUCKETS),
             answer_seconds: Histogram::new(BUCKETS),
             revision: Gauge::default(),
@@ -92,6 +100,8 @@
             self.requests.clone(),
         );
         registry.register("calls", "Calls by target and result", self.calls.clone());
+        let help = "Requests that waited for the first configuration, and how that ended";
+        registry.register("start_waits", help, self.start_waits.clone());
         let help = "Seconds to the first event of a stream";
         registry.register(
             "first_event_seconds",
@@ -138,6 +148,13 @@
         self.calls.get_or_create(&CallLabels { to, result }).inc();
     }
 
+    /// Counts a request that waits for the first configuration (`waited`), or the end of its wait.
+    pub(super) fn on_start_wait(&self, result: &'static str) {
+        self.start_waits
+            .get_or_create(&StartLabels { result })
+            .inc();
+    }
+
     /// Encodes all metrics, with the given values of the gauges.
     pub(super) fn encode_text(&self, values: &GaugeValues) -> String {
         let whole = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod quarantine;
 mod relay;
 mod reserve;
+mod starting;
 mod state;
 mod stop;
 mod supervise;
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -111,6 +111,8 @@
     pub(super) dialect: D,
     pub(super) timers: Timers,
     pub(super) pool: Pool,
+    /// Cancelled once this node has had a trusted configuration and the list of upstreams.
+    pub(super) started: CancellationToken,
     /// Cancelled when a stop begins, before `closing` and `ending`; the node then reports itself unready.
     pub(super) stopping: CancellationToken,
     /// Cancelled when new connections are no longer accepted.
@@ -168,6 +170,7 @@
             dialect,
             timers: Timers::start(Clock::start()),
             pool: Pool::default(),
+            started: CancellationToken::new(),
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             ending: CancellationToken::new(),
@@ -291,6 +294,17 @@
         freshness.within(self.settings.trust, now)
     }
 
+    /// Lets the requests go on that wait for the first configuration, if it is there.
+    pub(super) fn note_start(&self) {
+        if self.started.is_cancelled() || !self.trusts_configuration() {
+            return;
+        }
+        let view = self.view();
+        if view.directory.is_some() && view.upstreams_listed {
+            self.started.cancel();
+        }
+    }
+
     /// Begins a stop in which requests are answered until `ends_at`.
     pub(super) fn begin_stop(&self, ends_at: Time) {
         // Signals after the first are ignored, so it is set only once.
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -513,6 +513,7 @@
         let now = self.state.now();
         self.state.fleet().on_list(listed, outage, now);
         self.state.view().upstreams_listed = true;
+        self.state.note_start();
     }
 
     fn on_event(&mut self, event: Event<Value>, outage: bool) {
