Find a placing node that is down once, and leave requests to nodes with a list

After a loss of all nodes each request that had asked a node which was still down waited out its own limit of 110 ms, and a placing node that had its configuration before its upstreams refused requests of other nodes that the next node could have placed. Cause: only requests that ask later profit from what one has found; and an ask was decided without a list of upstreams, on which the asking node refuses the request for good. Change: when a request finds a node silent, the other ones that wait there for an answer ask the next node at once, and this does not count towards the three nodes asked. A late answer of the node passed over changes nothing. Queued ones keep their place. A node without a list of upstreams is unable, for asks of other nodes. Conclusion: no request waits at such a node for longer than the first one that found it.

--- a/crates/catkinusherd/src/gateway/placing.rs
+++ b/crates/catkinusherd/src/gateway/placing.rs
@@ -14,6 +14,7 @@
 use catkinusher_core::placer::{
     Answer, Ask, Asker, Context, Granted, REPEAT_INTERVAL, RETRY_INTERVAL, Step, Verdict,
 };
+use catkinusher_core::time::Time;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tracing::info;
@@ -165,13 +166,10 @@
     let mut queued = false;
     // A cell that took over from the one that was asked first.
     let mut waits_at = None;
+    // Nodes whose answer is no longer awaited, as another request found them silent.
+    let mut passed = Vec::new();
     'nodes: while asked < MAX_ASKED {
-        let holder = {
-            let roster = state.roster();
-            let holders = roster.holders(&cell.duty(), 1, clock::boot_time());
-            waits_at.take().or_else(|| holders.first().copied())
-        };
-        let Some(holder) = holder else {
+        let Some(holder) = waits_at.take().or_else(|| holder_of(state, cell)) else {
             return Err(NotPlaced::Unanswered);
         };
         asked += 1;
@@ -187,7 +185,18 @@
                 (false, true) => ANSWER_TIMEOUT,
             };
             let left = due.saturating_sub(now.since(sent_at));
+            // What one request has found, the others do not wait to find again. One that is
+            // queued keeps its place until the node misses its own next ask.
+            let silent = state.notifiers.silent.notified();
+            let at = waits_at.unwrap_or(holder);
+            if !waiting && state.roster().is_silent(at) {
+                waits_at = None;
+                passed.push(at);
+                asked -= 1;
+                continue 'nodes;
+            }
             tokio::select! {
+                () = silent, if !waiting => {}
                 reply = open.replies.recv() => {
                     let Some(reply) = reply else {
                         return Err(NotPlaced::Unanswered);
@@ -215,6 +224,9 @@
                         }
                         Reply::Unable(from) => {
                             if let Some(from) = from {
+                                if passed.contains(&from) {
+                                    continue;
+                                }
                                 state.roster().on_silent(from, clock::boot_time());
                             } else {
                                 return Err(NotPlaced::Unanswered);
@@ -236,9 +248,7 @@
                         transmit(state, at, describe(open.serial, &unusable));
                     } else if resent {
                         let at = waits_at.take().unwrap_or(holder);
-                        let now = clock::boot_time();
-                        state.roster().on_unanswered(at, sent_at, now);
-                        info!(event = "placing", outcome = "unanswered", node = %at);
+                        on_unanswered(state, at, sent_at);
                         continue 'nodes;
                     } else {
                         resent = true;
@@ -252,6 +262,20 @@
     Err(NotPlaced::Unanswered)
 }
 
+/// The node that places the requests of a cell, as far as this node knows.
+fn holder_of<D>(state: &State<D>, cell: &Cell) -> Option<SocketAddr> {
+    let holders = state.roster().holders(&cell.duty(), 1, clock::boot_time());
+    holders.first().copied()
+}
+
+/// Records that a node has not answered an ask of `sent_at`, and tells the other requests.
+fn on_unanswered<D>(state: &State<D>, node: SocketAddr, sent_at: Time) {
+    let now = clock::boot_time();
+    state.roster().on_unanswered(node, sent_at, now);
+    state.notifiers.silent.notify_waiters();
+    info!(event = "placing", outcome = "unanswered", node = %node);
+}
+
 /// Sends an ask, or decides on it if this node places the requests.
 fn transmit<D>(state: &Arc<State<D>>, holder: SocketAddr, ask: Ask)
 where
@@ -295,7 +319,9 @@
 {
     let serial = ask.serial;
     let directory = state.view().directory.clone();
-    let directory = directory.filter(|_| !state.stopping.is_cancelled() || asker.peer.is_none());
+    // Without the list of upstreams this node would refuse what another one can place.
+    let can_place = !state.stopping.is_cancelled() && state.view().upstreams_listed;
+    let directory = directory.filter(|_| can_place || asker.peer.is_none());
     let step = match directory {
         Some(directory) => {
             let mut placer = state.placer();
@@ -320,24 +346,17 @@
             }
             reply(state, socket, asker, answer);
         }
-        Step::Forward(ask) => {
-            let holder = {
-                let roster = state.roster();
-                let holders = roster.holders(&ask.cell.duty(), 1, clock::boot_time());
-                holders.first().copied()
-            };
-            match holder {
-                Some(holder) if holder != state.settings.peers => {
-                    let question = Question {
-                        node,
-                        reply_to: Some(asker.address),
-                        ask,
-                    };
-                    peers::send(socket, &Message::Ask(question), holder);
-                }
-                _ => decide(state, socket, asker, node, ask),
+        Step::Forward(ask) => match holder_of(state, &ask.cell) {
+            Some(holder) if holder != state.settings.peers => {
+                let question = Question {
+                    node,
+                    reply_to: Some(asker.address),
+                    ask,
+                };
+                peers::send(socket, &Message::Ask(question), holder);
             }
-        }
+            _ => decide(state, socket, asker, node, ask),
+        },
     }
 }
 
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -80,6 +80,8 @@
     pub(super) suspected: Notify,
     /// Asks are waiting at this node.
     pub(super) placing: Notify,
+    /// An ask has found that a node does not answer.
+    pub(super) silent: Notify,
 }
 
 impl Notifiers {
