--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -167,7 +167,10 @@
         // A list begins a watch, and a catch-up is repeated until readers know no more,
         // so both may be old, unless the changes since an old list may be gone.
         let may_be_old = (version.is_none() && !compacted) || (catch_up && !must_be_current);
-        let store = if may_be_old && !outage {
+        // What lapsed in an outage shows only in a current answer, but not to a node that has just
+        // started, and after a loss of all nodes each of them may have to list again.
+        let is_first = version.is_none() && !compacted;
+        let store = if may_be_old && (!outage || is_first) {
             store.stale()
         } else {
             store.clone()
