--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -36,6 +36,9 @@
 /// How often a node that does not watch the store checks whether it has become a reader.
 const ROLE_PERIOD: Duration = Duration::from_secs(1);
 
+/// The same before the list of nodes tells which nodes are readers.
+const START_ROLE_PERIOD: Duration = Duration::from_millis(50);
+
 /// The timeout of a call that only catches up, the shortest that the store accepts.
 const MIN_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 
@@ -144,7 +147,7 @@
     loop {
         if F::FEED.is_none() && !state.is_reader() {
             // Only readers watch the configuration; for others it comes with the confirmations.
-            state.timers.after(ROLE_PERIOD).await;
+            state.timers.after(role_period(&state)).await;
             continue;
         }
         let mut catch_up = must_be_current;
@@ -164,7 +167,10 @@
         // A list begins a watch, and a catch-up is repeated until readers know no more,
         // so both may be old, unless the changes since an old list may be gone.
         let may_be_old = (version.is_none() && !compacted) || (catch_up && !must_be_current);
-        let store = if may_be_old && !outage {
+        // What lapsed in an outage shows only in a current answer, but not to a node that has just
+        // started, and after a loss of all nodes each of them may have to list again.
+        let is_first = version.is_none() && !compacted;
+        let store = if may_be_old && (!outage || is_first) {
             store.stale()
         } else {
             store.clone()
@@ -215,6 +221,14 @@
     }
 }
 
+fn role_period<D>(state: &State<D>) -> Duration {
+    if state.roster().is_listed() {
+        ROLE_PERIOD
+    } else {
+        START_ROLE_PERIOD
+    }
+}
+
 /// Why a node that follows the readers has stopped waiting.
 enum Followed {
     /// It has applied changes, or its role may have changed.
@@ -233,7 +247,7 @@
         return Followed::Behind;
     };
     tokio::select! {
-        () = state.timers.after(ROLE_PERIOD) => {}
+        () = state.timers.after(role_period(state)) => {}
         () = state.feeds.arrived(feed) => {
             for batch in state.feeds.take(feed) {
                 if !state.feeds.continues(feed, &batch) {
@@ -502,6 +516,7 @@
         let now = self.state.now();
         self.state.fleet().on_list(listed, outage, now);
         self.state.view().upstreams_listed = true;
+        self.state.note_start();
     }
 
     fn on_event(&mut self, event: Event<Value>, outage: bool) {
@@ -644,10 +659,15 @@
             .map(|(name, member)| (name.clone(), member.address))
             .collect();
         let mut roster = self.state.roster();
+        let is_first = !roster.is_listed();
         roster.on_list(members.into_values().collect(), clock::boot_time());
         let count = roster.len();
         drop(roster);
         self.state.fleet().on_node_count(count);
+        if is_first {
+            // It tells which nodes are readers.
+            self.state.notifiers.confirm.notify_one();
+        }
     }
 
     fn on_event(&mut self, event: Event<Value>, _outage: bool) {
