Spread the requests of nodes that place alone over all upstreams

Cause: nodes that place for themselves choose from the same stale information, so a burst of all of them goes to the same upstreams. Change: core::fleet::spread gives each node a start position in the shared order, advanced by its own sends, and ignores differences in load that the others may have made up for. The load that an answer names counts as information of that moment.

--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -11,6 +11,8 @@
 mod load;
 mod peers;
 mod place;
+mod said;
+pub mod spread;
 mod upstream;
 
 pub use self::cell::{Cell, Pressure};
@@ -19,6 +21,7 @@
 pub use self::load::{Cost, Load, WorkId, WorkKind};
 pub use self::peers::GRANT_TTL;
 pub use self::place::{Authority, Basis, Demand, Overload, Placement, Policy};
+pub use self::said::NamedLoad;
 pub use self::upstream::Upstream;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -28,7 +31,10 @@
 use self::health::Health;
 use self::limit::NamedLimit;
 use self::peers::PeerLoads;
+use self::said::Said;
+use self::spread::Sends;
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
+use crate::roster::Position;
 use crate::time::Time;
 use crate::units::Rate;
 
@@ -63,6 +69,8 @@
     /// Until when it wants no requests from this node.
     rests_until: Time,
     limit: NamedLimit,
+    /// The load that its last answer to this node named.
+    said: Option<Said>,
     health: Health,
     own_load: Load,
     /// The sum of the loads of all peers, and of the grants that they have not reported yet.
@@ -118,6 +126,10 @@
     cells: Cells,
     /// The number of registered nodes; not all of them report to this one.
     node_count: usize,
+    /// The position of this node among the registered ones.
+    position: Position,
+    /// The requests that this node placed for itself, by service.
+    sends: BTreeMap<ServiceId, Sends>,
     /// The active requests of this node: the upstream, the cost, and whether prefill is done.
     in_flight: HashMap<u64, (UpstreamId, Cost, bool)>,
     next_work: u64,
@@ -136,6 +148,8 @@
             short_ids: HashMap::new(),
             cells: Cells::default(),
             node_count: 1,
+            position: Position::default(),
+            sends: BTreeMap::new(),
             in_flight: HashMap::new(),
             next_work: 0,
             pool_sizes: BTreeMap::new(),
@@ -173,6 +187,7 @@
                 entry.said_leaving = false;
                 entry.rests_until = Time::ZERO;
                 entry.limit = NamedLimit::default();
+                entry.said = None;
             }
             entry.expires_at = None;
             entry.warm_at = warm_at;
@@ -186,6 +201,7 @@
             said_leaving: false,
             rests_until: Time::ZERO,
             limit: NamedLimit::default(),
+            said: None,
             health: Health::default(),
             own_load: Load::default(),
             peer_load: Load::default(),
--- a/crates/catkinusher-core/src/fleet/peers.rs
+++ b/crates/catkinusher-core/src/fleet/peers.rs
@@ -13,7 +13,7 @@
 use crate::time::Time;
 
 /// How long a peer's loads are used after its last report, a few report intervals.
-const PEER_LOAD_TTL: Duration = Duration::from_millis(2500);
+const PEER_LOAD_TTL: Duration = super::spread::INFORMATION_TTL;
 
 /// How long the counters of a peer without load are kept, to find what was added to them since.
 const COUNTERS_TTL: Duration = Duration::from_mins(1);
@@ -54,6 +54,10 @@
             credits: HashMap::new(),
         }
     }
+
+    pub(super) const fn received_at(&self) -> Time {
+        self.received_at
+    }
 }
 
 impl Entry {
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -7,6 +7,7 @@
 //! from the front, and long prompts are prefilled by the engines behind
 //! those, several engines per prompt.
 
+mod alone;
 mod long;
 mod sizing;
 mod types;
@@ -19,8 +20,10 @@
 pub(super) use self::sizing::PoolSizes;
 pub use self::types::{Authority, Basis, Demand, Overload, Placement, Policy};
 
+use self::alone::AlonePlacement;
 use self::long::LongPlacement;
 use self::work::WorkPlacement;
+use super::spread::{Choice, Spread};
 use super::{Cell, Cost, Entry, Fleet, Load, WorkKind};
 use crate::directory::Service;
 use crate::engine::EngineProfile;
@@ -63,6 +66,7 @@
     id: &'a UpstreamId,
     entry: &'a Entry,
     load: Load,
+    slots: u32,
     local: bool,
     failure_rate: f64,
     /// The time until the limit that it names allows another request, or `None` if it allows this node none.
@@ -105,22 +109,37 @@
             data_centre: demand.within.clone(),
         };
         let mut pool_sizes = self.pool_sizes.remove(&cell).unwrap_or_default();
+        let spread = self.spread(&service.name, demand, now);
         let placed = match &service.engine {
-            None => self.place_plain(service, demand, policy, now, rng),
+            None => self.place_plain(service, demand, policy, spread, now, rng),
             Some(profile) => {
-                let candidates = self.candidates(service, demand, now);
-                place_prompt(
-                    candidates,
-                    profile,
-                    demand,
-                    policy,
-                    &mut pool_sizes,
-                    now,
-                    rng,
-                )
+                let mut candidates = self.candidates(service, demand, now);
+                if let Some(spread) = spread.filter(Spread::is_uncertain) {
+                    let placement = AlonePlacement {
+                        spread,
+                        profile,
+                        demand,
+                        policy,
+                    };
+                    placement.place(&mut candidates, rng)
+                } else {
+                    place_prompt(
+                        candidates,
+                        profile,
+                        demand,
+                        policy,
+                        &mut pool_sizes,
+                        now,
+                        rng,
+                    )
+                }
             }
         };
         self.pool_sizes.insert(cell, pool_sizes);
+        if placed.is_ok() && demand.authority == Authority::Own {
+            let sends = self.sends.entry(service.name.clone()).or_default();
+            sends.on_send(now);
+        }
         placed
     }
 
@@ -151,13 +170,19 @@
             .map(|(id, entry)| (untried(id), healthy(entry)))
             .max()
             .unwrap_or_default();
-        usable
+        let (ids, entries): (Vec<_>, Vec<_>) = usable
             .into_iter()
             .filter(|(id, entry)| (untried(id), healthy(entry)) == best)
-            .map(|(id, entry)| Candidate {
+            .unzip();
+        let loads = self.known_loads(&entries, demand.authority, now);
+        ids.into_iter()
+            .zip(entries)
+            .zip(loads)
+            .map(|((id, entry), (load, slots))| Candidate {
                 id,
                 entry,
-                load: self.total_load(entry, now),
+                load,
+                slots,
                 local: entry.upstream.data_centre == self.home,
                 failure_rate: entry.health.failure_rate(now),
                 limit_wait: entry.limit.wait(demand.authority, nodes, now),
@@ -170,6 +195,7 @@
         service: &Service,
         demand: &Demand,
         policy: &Policy,
+        spread: Option<Spread>,
         now: Time,
         rng: &mut R,
     ) -> Result<Placement, Overload>
@@ -178,12 +204,23 @@
     {
         let candidates = self.candidates(service, demand, now);
         let score = |candidate: &Candidate<'_>| {
-            let slots = f64::from(candidate.entry.upstream.slots.max(1));
+            let slots = f64::from(candidate.slots.max(1));
             let utilization = f64::from(candidate.load.active_requests()) / slots;
             utilization + candidate.penalty()
         };
-        let best = pick_lowest(&candidates, score, rng).ok_or_else(|| over_limit(&candidates))?;
-        let slots = best.entry.upstream.slots;
+        let choice = |candidate: &Candidate<'_>| Choice {
+            load: score(candidate),
+            step: 1.0 / f64::from(candidate.slots.max(1)),
+            room: f64::from(alone::free_slots(candidate, candidate.slots)),
+        };
+        let best = match &spread {
+            None => pick_lowest(&candidates, score, rng),
+            Some(spread) => {
+                alone::pick(&candidates, spread, choice).map(|index| &candidates[index])
+            }
+        };
+        let best = best.ok_or_else(|| over_limit(&candidates))?;
+        let slots = best.slots;
         if best.load.active_requests() >= slots + policy.max_queued.max(slots) {
             return Err(Overload::Full(RETRY_AFTER_PLAIN));
         }
@@ -213,26 +250,7 @@
 where
     R: Rng,
 {
-    if engines.is_empty() {
-        return Err(Overload::None);
-    }
-    if demand.prompt + demand.answer > profile.kv_capacity && !profile.joint_prefill {
-        return Err(Overload::TooLong);
-    }
-    // The length of the answer is not known in advance; half of the maximum is close to the mean.
-    let decode_time = profile.decode_time(Tokens::new(demand.answer.get() / 2));
-    let max_engines = if profile.joint_prefill {
-        policy.max_helpers as u32 + 1
-    } else {
-        1
-    };
-    let needed = profile.prefill_time(demand.prompt) / max_engines + decode_time;
-    if needed > demand.time_left {
-        return Err(Overload::Late(needed));
-    }
-    // Engines that name a limit come last: a limit counts requests, so it is kept for long prompts
-    // and for what the other engines cannot answer.
-    engines.sort_by_key(|candidate| (candidate.entry.limit.is_set(), candidate.entry.rank));
+    prepare(&mut engines, profile, demand, policy)?;
     // A smaller service has too few engines to keep some for short prompts that arrive later.
     if demand.within.is_some() {
         let placement = WorkPlacement {
@@ -260,6 +278,36 @@
     long.place(rng)
 }
 
+/// Sorts the engines into the order that all nodes share, unless none of them can answer the prompt in time.
+fn prepare(
+    engines: &mut [Candidate<'_>],
+    profile: &EngineProfile,
+    demand: &Demand,
+    policy: &Policy,
+) -> Result<(), Overload> {
+    if engines.is_empty() {
+        return Err(Overload::None);
+    }
+    if demand.prompt + demand.answer > profile.kv_capacity && !profile.joint_prefill {
+        return Err(Overload::TooLong);
+    }
+    // The length of the answer is not known in advance; half of the maximum is close to the mean.
+    let decode_time = profile.decode_time(Tokens::new(demand.answer.get() / 2));
+    let max_engines = if profile.joint_prefill {
+        policy.max_helpers as u32 + 1
+    } else {
+        1
+    };
+    let needed = profile.prefill_time(demand.prompt) / max_engines + decode_time;
+    if needed > demand.time_left {
+        return Err(Overload::Late(needed));
+    }
+    // Engines that name a limit come last: a limit counts requests, so it is kept for long prompts
+    // and for what the other engines cannot answer.
+    engines.sort_by_key(|candidate| (candidate.entry.limit.is_set(), candidate.entry.rank));
+    Ok(())
+}
+
 /// Places a short prompt on the engines for short prompts, or on any engine if those are full.
 fn place_short<R>(
     engines: &[Candidate<'_>],
@@ -288,6 +336,20 @@
         // An engine for long prompts is better than waiting for a slot.
         .or_else(|| pick_lowest(engines, score, rng))
         .ok_or_else(|| over_limit(engines))?;
+    let choices = (engines.len(), shorts);
+    short_placement(best, choices, profile, demand, policy, prefill_time)
+}
+
+/// The placement of a short prompt on the engine `best`; `choices` are the numbers of engines, and of those for
+/// short prompts.
+fn short_placement(
+    best: &Candidate<'_>,
+    choices: (usize, usize),
+    profile: &EngineProfile,
+    demand: &Demand,
+    policy: &Policy,
+    prefill_time: Duration,
+) -> Result<Placement, Overload> {
     if best.load.active_requests() >= profile.slots + policy.max_queued {
         return Err(Overload::Full(RETRY_AFTER_SHORT));
     }
@@ -300,8 +362,8 @@
         },
         helpers: Vec::new(),
         basis: Basis {
-            choices: engines.len(),
-            shorts,
+            choices: choices.0,
+            shorts: choices.1,
             load: best.load,
             wait: Duration::from_millis(best.load.pending_prefill_ms),
             ..Basis::default()
--- a/crates/catkinusher-core/src/roster/mod.rs
+++ b/crates/catkinusher-core/src/roster/mod.rs
@@ -7,7 +7,7 @@
 //! (see [docs/design/large.md](../../../../docs/design/large.md)).
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -57,6 +57,21 @@
     pub data_centre: Option<DataCentreId>,
 }
 
+/// The position of a node among the registered ones, in an order that is the same at all nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Position {
+    /// The number of nodes before it.
+    pub rank: usize,
+    /// The number of nodes.
+    pub count: usize,
+}
+
+impl Default for Position {
+    fn default() -> Self {
+        Self { rank: 0, count: 1 }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Entry {
     member: Member,
@@ -215,6 +230,37 @@
         self.entries.len() + 1
     }
 
+    /// The position of this node.
+    ///
+    /// The nodes of each data centre are sorted by address, and stand at even distances in the
+    /// whole order, so that those of one data centre alone are spread too.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        let own = &self.own;
+        let mut sizes = BTreeMap::from([(&own.data_centre, 1)]);
+        let mut index = 0;
+        for Entry { member, .. } in self.entries.values() {
+            *sizes.entry(&member.data_centre).or_default() += 1;
+            let is_before = member.address < own.address;
+            index += usize::from(member.data_centre == own.data_centre && is_before);
+        }
+        // The node `i` of `n` in a data centre stands at (2 i + 1) / 2 n of the whole order.
+        let own_size = sizes[&own.data_centre];
+        let before = |(centre, size): (&&Option<DataCentreId>, &usize)| {
+            let place = (2 * index + 1) * size;
+            let odd_up_to = if **centre < own.data_centre {
+                place / own_size
+            } else {
+                place.div_ceil(own_size) - 1
+            };
+            odd_up_to.div_ceil(2)
+        };
+        Position {
+            rank: sizes.iter().map(before).sum(),
+            count: self.len(),
+        }
+    }
+
     /// Whether no other node is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/catkinusher-core/tests/roster.rs
+++ b/crates/catkinusher-core/tests/roster.rs
@@ -137,3 +137,30 @@
         );
     }
 }
+
+/// Failure: two nodes with the same position would choose the same upstreams.
+#[test]
+fn every_node_has_its_own_position_and_those_of_a_data_centre_stand_apart() {
+    for count in [1, 2, 7, 92, 300] {
+        // A third of the nodes run in the first data centre, and the others in the second.
+        let members: Vec<Member> = (0..count)
+            .map(|node| Member {
+                data_centre: Some(["gent", "leuven", "leuven"][node % 3].parse().unwrap()),
+                ..member(node)
+            })
+            .collect();
+        let mut positions = Vec::new();
+        for own in &members {
+            let mut roster = Roster::new(own.clone(), ms(0));
+            roster.on_list(members.clone(), ms(0));
+            assert_eq!(roster.position().count, count);
+            positions.push(roster.position().rank);
+        }
+        let mut gent: Vec<usize> = positions.iter().copied().step_by(3).collect();
+        gent.sort_unstable();
+        let gaps = gent.windows(2).map(|pair| pair[1] - pair[0]);
+        assert!(gaps.clone().all(|gap| (2..=4).contains(&gap)), "{gent:?}");
+        positions.sort_unstable();
+        assert_eq!(positions, (0..count).collect::<Vec<_>>());
+    }
+}
