Read the load that upstreams name in their answers

Cause: each answer of an upstream tells how many requests it runs, of all nodes, and nobody read it, so a node that places alone knew nothing of the others. Change: the header Server-Load (running, waiting, slots) becomes part of the notice and goes to the fleet, where it ages; a malformed one is ignored (platform/tests/notices.rs). The node's position among the registered ones goes there with their number. Conclusion: no message, probe or store call is added.

--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -381,6 +381,9 @@
         let mut fleet = self.state.fleet();
         let before = fleet.named_limit(upstream);
         let is_news = fleet.on_limit(upstream, notice.limit, now);
+        if let Some(load) = notice.load {
+            fleet.on_named_load(upstream, load, now);
+        }
         drop(fleet);
         if before != notice.limit {
             let limit = notice.limit.map(Rate::get);
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use catkinusher_core::directory::Directory;
-use catkinusher_core::fleet::Upstream;
+use catkinusher_core::fleet::{NamedLoad, Upstream};
 use catkinusher_core::id::{CustomerId, PartId, UpstreamId};
 use catkinusher_core::units::{Rate, Tokens};
 use catkinusher_platform::form::Form;
@@ -117,6 +117,8 @@
     pub rest: Option<Duration>,
     /// The requests a second that it takes from all nodes together.
     pub limit: Option<Rate>,
+    /// Its load at that moment, over the requests of all nodes.
+    pub load: Option<NamedLoad>,
 }
 
 /// Translates between the gateway and the headers of callers and upstreams.
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -645,9 +645,11 @@
             .collect();
         let mut roster = self.state.roster();
         roster.on_list(members.into_values().collect(), clock::boot_time());
-        let count = roster.len();
+        let position = roster.position();
         drop(roster);
-        self.state.fleet().on_node_count(count);
+        let mut fleet = self.state.fleet();
+        fleet.on_node_count(position.count);
+        fleet.on_position(position);
     }
 
     fn on_event(&mut self, event: Event<Value>, _outage: bool) {
@@ -670,9 +672,11 @@
         {
             roster.on_left(previous);
         }
-        let count = roster.len();
+        let position = roster.position();
         drop(roster);
-        self.state.fleet().on_node_count(count);
+        let mut fleet = self.state.fleet();
+        fleet.on_node_count(position.count);
+        fleet.on_position(position);
     }
 
     fn with_progress<T, F>(&self, act: F) -> Option<T>
