--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -661,9 +661,12 @@
         let mut roster = self.state.roster();
         let is_first = !roster.is_listed();
         roster.on_list(members.into_values().collect(), clock::boot_time());
-        let count = roster.len();
+        let position = roster.position();
         drop(roster);
-        self.state.fleet().on_node_count(count);
+        let mut fleet = self.state.fleet();
+        fleet.on_node_count(position.count);
+        fleet.on_position(position);
+        drop(fleet);
         if is_first {
             // It tells which nodes are readers.
             self.state.notifiers.confirm.notify_one();
@@ -690,9 +693,11 @@
         {
             roster.on_left(previous);
         }
-        let count = roster.len();
+        let position = roster.position();
         drop(roster);
-        self.state.fleet().on_node_count(count);
+        let mut fleet = self.state.fleet();
+        fleet.on_node_count(position.count);
+        fleet.on_position(position);
     }
 
     fn with_progress<T, F>(&self, act: F) -> Option<T>
