Return the reason for a placement with its grant

Cause: the answer of the node that places a cell's requests held neither the sizes of the pools nor a score, so the line `send` of the asking node showed `shorts` and `writers` as 0 and no reason for the choice. Change: each score is a list of named terms with a total, added in the same order as before; `Basis` and `Granted` hold the pool sizes, the age of the newest load report, the score and the runner-up with its score. In messages the new fields have one-letter names and are left out when empty. `Demand::trace` asks for all candidates with their terms. The line `send` has `score`, `next`, `next_score` and `age_ms`. Conclusion: a `send` line tells why its upstream was chosen; placement is as before.

--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -18,7 +18,7 @@
 pub use self::limit::LimitReport;
 pub use self::load::{Cost, Load, WorkId, WorkKind};
 pub use self::peers::GRANT_TTL;
-pub use self::place::{Authority, Basis, Demand, Overload, Placement, Policy};
+pub use self::place::{Authority, Basis, Demand, Overload, Placement, Policy, Ranked, Score, Term};
 pub use self::upstream::Upstream;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -114,6 +114,8 @@
     entries: BTreeMap<UpstreamId, Entry>,
     drained: BTreeSet<DataCentreId>,
     peers: HashMap<u64, PeerLoads>,
+    /// When the last load report of a peer was received.
+    reported_at: Option<Time>,
     short_ids: HashMap<u32, UpstreamId>,
     cells: Cells,
     /// The number of registered nodes; not all of them report to this one.
@@ -133,6 +135,7 @@
             entries: BTreeMap::new(),
             drained: BTreeSet::new(),
             peers: HashMap::new(),
+            reported_at: None,
             short_ids: HashMap::new(),
             cells: Cells::default(),
             node_count: 1,
--- a/crates/catkinusher-core/src/fleet/peers.rs
+++ b/crates/catkinusher-core/src/fleet/peers.rs
@@ -107,6 +107,7 @@
             .remove(&peer)
             .unwrap_or_else(|| PeerLoads::new(now));
         state.received_at = now;
+        self.reported_at = Some(now);
         while state
             .grants
             .front()
--- a/crates/catkinusher-core/src/fleet/place/long.rs
+++ b/crates/catkinusher-core/src/fleet/place/long.rs
@@ -12,8 +12,9 @@
 
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
+use super::choice::{Choice, Terms, choose};
 use super::{Basis, Candidate, Demand, Overload, Placement, Policy};
 use crate::engine::EngineProfile;
 use crate::fleet::{Cost, WorkKind};
@@ -32,6 +33,9 @@
 /// The penalty of an engine that fails all requests, in milliseconds of prefill.
 const FAILURE_WEIGHT: f64 = 500.0;
 
+/// Scores that differ by less than this count as equal, in milliseconds of prefill.
+const TIE_WIDTH_MS: f64 = 1.0;
+
 /// A part that is shorter than this fraction of another goes first.
 const SHORTER_RATIO: f64 = 0.8;
 
@@ -97,10 +101,11 @@
         } else {
             [writers, readers]
         };
-        let primary = groups
+        let choice = groups
             .into_iter()
             .find_map(|group| self.choose_primary(group, max_helpers, rng))
             .ok_or_else(|| self.no_primary(max_helpers))?;
+        let primary = choice.best;
         let helpers = self.choose_helpers(readers, primary, max_helpers);
         let part_time = self.prefill_time / (helpers.len() as u32 + 1);
         // As in `place_prompt`, half of the maximum stands for the unknown length of the answer.
@@ -138,10 +143,13 @@
                 .collect(),
             basis: Basis {
                 choices: self.engines.len(),
-                shorts: 0,
                 writers: self.writers,
                 load: primary.load,
                 wait: Duration::from_millis(wait),
+                score: choice.score,
+                next: choice.next(),
+                ranking: choice.ranking,
+                ..Basis::default()
             },
         })
     }
@@ -208,11 +216,15 @@
     }
 
     /// The expected delay and disturbance on an engine, in milliseconds of prefill; lower is better.
-    fn score(candidate: &Candidate<'_>) -> f64 {
-        candidate.load.pending_prefill_ms as f64
-            + f64::from(candidate.load.long_requests) * LONG_ANSWER_WEIGHT
-            + f64::from(candidate.load.short_requests) * SHORT_ANSWER_WEIGHT
-            + candidate.failure_rate * FAILURE_WEIGHT
+    fn terms(candidate: &Candidate<'_>) -> Terms<4> {
+        let load = &candidate.load;
+        let count = f64::from;
+        Terms([
+            ("prefill", load.pending_prefill_ms as f64),
+            ("long", count(load.long_requests) * LONG_ANSWER_WEIGHT),
+            ("short", count(load.short_requests) * SHORT_ANSWER_WEIGHT),
+            ("failures", candidate.failure_rate * FAILURE_WEIGHT),
+        ])
     }
 
     /// Whether an engine has a slot and memory to answer.
@@ -247,21 +259,15 @@
         group: &'a [Candidate<'a>],
         max_helpers: usize,
         rng: &mut R,
-    ) -> Option<&'a Candidate<'a>>
+    ) -> Option<Choice<'a, 'a>>
     where
         R: Rng,
     {
-        group
+        let able = group
             .iter()
             .filter(|candidate| candidate.may_answer() && self.fits(candidate, max_helpers))
-            .map(|candidate| {
-                (
-                    Self::score(candidate) + rng.random_range(0.0..1.0),
-                    candidate,
-                )
-            })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, candidate)| candidate)
+            .map(|candidate| (candidate, Self::terms(candidate)));
+        choose(able, TIE_WIDTH_MS, self.demand.trace, rng)
     }
 
     /// The engines that prefill parts, those without short answers first.
@@ -290,7 +296,7 @@
     /// Sorts possible helpers by what a part disturbs there, those without short answers first.
     fn by_disturbance<'a>(mut engines: Vec<&'a Candidate<'a>>) -> Vec<&'a Candidate<'a>> {
         let score = |candidate: &Candidate<'_>| {
-            Self::score(candidate)
+            Self::terms(candidate).total()
                 + f64::from(candidate.load.long_requests.min(1)) * BUSY_HELPER_WEIGHT
         };
         engines.sort_by(|a, b| {
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -7,6 +7,7 @@
 //! from the front, and long prompts are prefilled by the engines behind
 //! those, several engines per prompt.
 
+mod choice;
 mod long;
 mod sizing;
 mod types;
@@ -14,11 +15,13 @@
 
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
+pub use self::choice::{Ranked, Score, Term};
 pub(super) use self::sizing::PoolSizes;
 pub use self::types::{Authority, Basis, Demand, Overload, Placement, Policy};
 
+use self::choice::{Choice, Terms, choose};
 use self::long::LongPlacement;
 use self::work::WorkPlacement;
 use super::{Cell, Cost, Entry, Fleet, Load, WorkKind};
@@ -121,7 +124,10 @@
             }
         };
         self.pool_sizes.insert(cell, pool_sizes);
-        placed
+        placed.map(|mut placement| {
+            placement.basis.age = self.reported_at.map(|at| now.since(at));
+            placement
+        })
     }
 
     fn candidates(&self, service: &Service, demand: &Demand, now: Time) -> Vec<Candidate<'_>> {
@@ -177,12 +183,17 @@
         R: Rng,
     {
         let candidates = self.candidates(service, demand, now);
-        let score = |candidate: &Candidate<'_>| {
+        let terms = |candidate: &Candidate<'_>| {
             let slots = f64::from(candidate.entry.upstream.slots.max(1));
             let utilization = f64::from(candidate.load.active_requests()) / slots;
-            utilization + candidate.penalty()
+            Terms([
+                ("utilization", utilization),
+                ("penalty", candidate.penalty()),
+            ])
         };
-        let best = pick_lowest(&candidates, score, rng).ok_or_else(|| over_limit(&candidates))?;
+        let choice = pick_lowest(&candidates, terms, demand.trace, rng)
+            .ok_or_else(|| over_limit(&candidates))?;
+        let best = choice.best;
         let slots = best.entry.upstream.slots;
         if best.load.active_requests() >= slots + policy.max_queued.max(slots) {
             return Err(Overload::Full(RETRY_AFTER_PLAIN));
@@ -194,6 +205,9 @@
             basis: Basis {
                 choices: candidates.len(),
                 load: best.load,
+                score: choice.score,
+                next: choice.next(),
+                ranking: choice.ranking,
                 ..Basis::default()
             },
         })
@@ -257,7 +271,9 @@
         policy,
         prefill_time,
     };
-    long.place(rng)
+    let mut placed = long.place(rng)?;
+    placed.basis.shorts = shorts;
+    Ok(placed)
 }
 
 /// Places a short prompt on the engines for short prompts, or on any engine if those are full.
@@ -275,19 +291,25 @@
 {
     let slots = f64::from(profile.slots.max(1));
     let threshold_ms = policy.long_threshold.as_millis() as f64;
-    let score = |candidate: &Candidate<'_>| {
+    let terms = |candidate: &Candidate<'_>| {
         let utilization = f64::from(candidate.load.active_requests()) / slots;
         let full_penalty = if utilization < 1.0 { 0.0 } else { FULL_PENALTY };
         let prefill = candidate.load.pending_prefill_ms as f64 / threshold_ms;
-        utilization + full_penalty + prefill + candidate.penalty()
+        Terms([
+            ("utilization", utilization),
+            ("full", full_penalty),
+            ("prefill", prefill),
+            ("penalty", candidate.penalty()),
+        ])
     };
     let short_engines = &engines[..shorts.clamp(1, engines.len())];
-    let has_slot = |best: &&Candidate<'_>| best.load.active_requests() < profile.slots;
-    let best = pick_lowest(short_engines, score, rng)
+    let has_slot = |choice: &Choice<'_, '_>| choice.best.load.active_requests() < profile.slots;
+    let choice = pick_lowest(short_engines, terms, demand.trace, rng)
         .filter(has_slot)
         // An engine for long prompts is better than waiting for a slot.
-        .or_else(|| pick_lowest(engines, score, rng))
+        .or_else(|| pick_lowest(engines, terms, demand.trace, rng))
         .ok_or_else(|| over_limit(engines))?;
+    let best = choice.best;
     if best.load.active_requests() >= profile.slots + policy.max_queued {
         return Err(Overload::Full(RETRY_AFTER_SHORT));
     }
@@ -304,6 +326,9 @@
             shorts,
             load: best.load,
             wait: Duration::from_millis(best.load.pending_prefill_ms),
+            score: choice.score,
+            next: choice.next(),
+            ranking: choice.ranking,
             ..Basis::default()
         },
     })
@@ -320,24 +345,19 @@
 }
 
 /// The candidate with the lowest score among those that may answer; ties are broken at random.
-fn pick_lowest<'a, 'b, F, R>(
+fn pick_lowest<'a, 'b, F, R, const N: usize>(
     candidates: &'b [Candidate<'a>],
-    score: F,
+    terms: F,
+    trace: bool,
     rng: &mut R,
-) -> Option<&'b Candidate<'a>>
+) -> Option<Choice<'a, 'b>>
 where
-    F: Fn(&Candidate<'a>) -> f64,
+    F: Fn(&Candidate<'a>) -> Terms<N>,
     R: Rng,
 {
-    candidates
+    let able = candidates
         .iter()
         .filter(|candidate| candidate.may_answer())
-        .map(|candidate| {
-            (
-                score(candidate) + rng.random_range(0.0..TIE_WIDTH),
-                candidate,
-            )
-        })
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .map(|(_, candidate)| candidate)
+        .map(|candidate| (candidate, terms(candidate)));
+    choose(able, TIE_WIDTH, trace, rng)
 }
--- a/crates/catkinusher-core/src/fleet/place/types.rs
+++ b/crates/catkinusher-core/src/fleet/place/types.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::choice::{Ranked, Score};
 use crate::fleet::{Cost, Load};
 use crate::id::{DataCentreId, UpstreamId};
 use crate::units::Tokens;
@@ -103,6 +104,8 @@
     pub within: Option<DataCentreId>,
     /// For whom it is placed.
     pub authority: Authority,
+    /// Whether the basis of the placement holds the scores of all candidates.
+    pub trace: bool,
 }
 
 /// The upstreams chosen for a request.
@@ -119,7 +122,7 @@
 }
 
 /// The state that a placement is based on, for logs.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Basis {
     /// The number of candidates.
     pub choices: usize,
@@ -131,6 +134,14 @@
     pub load: Load,
     /// The longest pending prefill time among the chosen engines.
     pub wait: Duration,
+    /// The age of the newest load report of another node, if there is one.
+    pub age: Option<Duration>,
+    /// The score of the chosen upstream.
+    pub score: Score,
+    /// The runner-up, with its score.
+    pub next: Option<(UpstreamId, Score)>,
+    /// The candidates with their scores, the best first; empty unless [`Demand::trace`] is set.
+    pub ranking: Vec<Ranked>,
 }
 
 /// Why a request cannot be placed.
--- a/crates/catkinusher-core/src/fleet/place/work.rs
+++ b/crates/catkinusher-core/src/fleet/place/work.rs
@@ -7,8 +7,9 @@
 
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
+use super::choice::{Terms, choose};
 use super::long::LongPlacement;
 use super::sizing::PoolSizes;
 use super::{Basis, Candidate, Demand, Overload, Placement, Policy, RETRY_AFTER_SHORT, over_limit};
@@ -78,7 +79,7 @@
             prefill_time,
         };
         let is_short = prefill_time < policy.long_threshold;
-        let placed = if is_short {
+        let mut placed = if is_short {
             self.place_short(engines, shorts, prefill_time, Vec::new(), rng)
         } else if self.needs_short_pauses() && self.profile.joint_prefill {
             let part_time = policy.long_threshold;
@@ -96,6 +97,8 @@
             long.place(rng)
         }?;
         pool_sizes.on_work(is_short, prefill_time, now);
+        placed.basis.shorts = shorts;
+        placed.basis.writers = writers;
         Ok(placed)
     }
 
@@ -119,21 +122,17 @@
     {
         let is_helper =
             |candidate: &Candidate<'_>| helpers.iter().any(|(id, _)| id == candidate.id);
-        let (_, best) = engines
+        let able = engines
             .iter()
             .enumerate()
             .filter(|(_, candidate)| candidate.may_answer() && !is_helper(candidate))
             .map(|(index, candidate)| {
-                let outside = if index < shorts.max(1) {
-                    0.0
-                } else {
-                    OUTSIDE_PENALTY_MS
-                };
-                let score = self.delay_ms(candidate, prefill_time) + outside;
-                (score + rng.random_range(0.0..TIE_WIDTH_MS), candidate)
-            })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
+                let is_outside = index >= shorts.max(1);
+                (candidate, self.terms(candidate, prefill_time, is_outside))
+            });
+        let choice = choose(able, TIE_WIDTH_MS, self.demand.trace, rng)
             .ok_or_else(|| over_limit(engines))?;
+        let best = choice.best;
         if best.load.active_requests() >= self.profile.slots + self.policy.max_queued {
             return Err(Overload::Full(RETRY_AFTER_SHORT));
         }
@@ -150,16 +149,23 @@
             helpers,
             basis: Basis {
                 choices: engines.len(),
-                shorts,
                 load: best.load,
                 wait: Duration::from_millis(best.load.pending_prefill_ms),
+                score: choice.score,
+                next: choice.next(),
+                ranking: choice.ranking,
                 ..Basis::default()
             },
         })
     }
 
     /// The expected time until the first event, and what the prompt costs others, in milliseconds.
-    fn delay_ms(&self, candidate: &Candidate<'_>, prefill_time: Duration) -> f64 {
+    fn terms(
+        &self,
+        candidate: &Candidate<'_>,
+        prefill_time: Duration,
+        is_outside: bool,
+    ) -> Terms<7> {
         let load = &candidate.load;
         let answers = load.active_requests();
         let held = crate::units::Tokens::new(load.held_tokens);
@@ -171,14 +177,19 @@
         // A prompt that arrives in a pass waits for its end, half of it in the mean.
         let running_ms = if answers > 0 { pass_ms / 2.0 } else { 0.0 };
         let prefill_ms = load.pending_prefill_ms as f64 + millis(prefill_time);
-        let first_ms = running_ms + prefill_ms + own_pass_ms;
         let stall_ms = pass_ms + prefill_ms;
         let stalled = f64::from(load.short_requests) * self.excess(stall_ms);
         let is_full = answers >= self.profile.slots;
-        first_ms
-            + stalled * STALL_WEIGHT_MS
-            + if is_full { FULL_PENALTY_MS } else { 0.0 }
-            + candidate.failure_rate * FAILURE_PENALTY_MS
+        let penalty = |applies, penalty_ms| if applies { penalty_ms } else { 0.0 };
+        Terms([
+            ("running", running_ms),
+            ("prefill", prefill_ms),
+            ("pass", own_pass_ms),
+            ("stalls", stalled * STALL_WEIGHT_MS),
+            ("full", penalty(is_full, FULL_PENALTY_MS)),
+            ("failures", candidate.failure_rate * FAILURE_PENALTY_MS),
+            ("outside", penalty(is_outside, OUTSIDE_PENALTY_MS)),
+        ])
     }
 
     /// How likely a stall is longer than the callers of short prompts tolerate, between 0 and 1.
--- a/crates/catkinusher-core/src/placer/message.rs
+++ b/crates/catkinusher-core/src/placer/message.rs
@@ -162,6 +162,29 @@
     /// Whether the upstream that answers is believed to have a limit; an answer without one is news.
     #[serde(rename = "n", default, skip_serializing_if = "std::ops::Not::not")]
     pub limited: bool,
+    /// The number of upstreams for short prompts, for logs.
+    #[serde(rename = "s", default, skip_serializing_if = "is_zero")]
+    pub shorts: u32,
+    /// The number of upstreams that answer long prompts, for logs.
+    #[serde(rename = "r", default, skip_serializing_if = "is_zero")]
+    pub writers: u32,
+    /// The age in milliseconds of the newest load report at the node that placed it, for logs.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub age: Option<u64>,
+    /// The score of the primary in thousandths, for logs.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub score: Option<u64>,
+    /// The short id of the runner-up with its score in thousandths, for logs.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<(u32, u64)>,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+const fn is_zero(count: &u32) -> bool {
+    *count == 0
 }
 
 /// The decision on an ask.
--- a/crates/catkinusher-core/src/placer/mod.rs
+++ b/crates/catkinusher-core/src/placer/mod.rs
@@ -267,6 +267,7 @@
             avoid,
             within: ask.cell.data_centre.clone(),
             authority: Authority::Shared,
+            trace: false,
         };
         let placed = context
             .fleet
@@ -312,6 +313,7 @@
         upstream: Fleet::short_id(id),
         cost,
     };
+    let basis = &placement.basis;
     Granted {
         grant,
         primary: part(&placement.primary, placement.cost),
@@ -320,9 +322,17 @@
             .iter()
             .map(|(id, cost)| part(id, *cost))
             .collect(),
-        choices: placement.basis.choices as u32,
-        load: placement.basis.load,
-        wait: placement.basis.wait.as_millis() as u64,
+        choices: basis.choices as u32,
+        load: basis.load,
+        wait: basis.wait.as_millis() as u64,
         limited,
+        shorts: basis.shorts as u32,
+        writers: basis.writers as u32,
+        age: basis.age.map(|age| age.as_millis() as u64),
+        score: Some(basis.score.thousandths()),
+        next: basis
+            .next
+            .as_ref()
+            .map(|(id, score)| (Fleet::short_id(id), score.thousandths())),
     }
 }
--- a/crates/catkinusher-core/tests/placer.rs
+++ b/crates/catkinusher-core/tests/placer.rs
@@ -362,3 +362,44 @@
     node.placer.forget_peer(2);
     assert!(!node.placer.has_waiting(), "no process waits for them");
 }
+
+#[test]
+fn a_grant_carries_the_reason_for_the_choice_and_leaves_out_what_is_not_known() {
+    // The answer dropped the sizes of the pools, and the node that sends logged zeros.
+    let mut node = Node::new((0..8).map(upstream).collect());
+    let known = |step| match verdict(step) {
+        Verdict::Granted(granted) => granted,
+        other => panic!("not placed: {other:?}"),
+    };
+    let first = known(node.on_ask(0, ask(1, whole(), 1000), ms(0)));
+    assert_eq!(first.shorts, 1);
+    assert_eq!(first.age, None, "no node has reported");
+    let json = serde_json::to_value(&first).unwrap();
+    assert_eq!(json.get("a"), None, "absent fields are not sent: {json}");
+    assert_eq!(json.get("r"), None, "zeros are not sent: {json}");
+    assert_eq!(
+        first.next, None,
+        "the pool for short prompts has one engine"
+    );
+
+    node.fleet.on_loads(1, HashMap::new(), true, 0, ms(10));
+    let long = known(node.on_ask(0, ask(2, whole(), 60_000), ms(35)));
+    assert_eq!((long.shorts, long.writers), (1, 1));
+    assert_eq!(long.age, Some(25));
+}
+
+#[test]
+fn a_grant_in_a_cell_names_the_runner_up_with_a_higher_score() {
+    let mut node = Node::new(large());
+    let cell = Cell {
+        data_centre: Some("gent".parse().unwrap()),
+        ..whole()
+    };
+    let Verdict::Granted(granted) = verdict(node.on_ask(0, ask(1, cell, 1000), ms(0))) else {
+        panic!("not placed");
+    };
+    let (next, next_score) = granted.next.expect("27 engines have a runner-up");
+    assert_ne!(next, granted.primary.upstream);
+    // The runner-up is outside the pool for short prompts, which costs more than ties do.
+    assert!(next_score > granted.score.unwrap(), "{granted:?}");
+}
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -411,6 +411,10 @@
             answers = basis.load.active_requests(),
             parts = basis.load.parts,
             wait_ms = basis.wait.as_millis() as u64,
+            age_ms = basis.age.map(|age| age.as_millis() as u64),
+            score = f64::from(basis.score),
+            next = basis.next.as_ref().map(|(id, _)| id.as_str()),
+            next_score = basis.next.as_ref().map(|(_, score)| f64::from(*score)),
             left_ms = left.as_millis() as u64,
         );
     }
--- a/crates/catkinusherd/src/gateway/attempt/turn.rs
+++ b/crates/catkinusherd/src/gateway/attempt/turn.rs
@@ -148,6 +148,7 @@
             avoid: self.avoid.clone(),
             within: None,
             authority: Authority::Own,
+            trace: false,
         };
         let now = self.state.now();
         let policy = &self.state.settings.placing;
--- a/crates/catkinusherd/src/gateway/placing.rs
+++ b/crates/catkinusherd/src/gateway/placing.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use catkinusher_core::fleet::{Basis, Cell, Overload, Placement};
+use catkinusher_core::fleet::{Basis, Cell, Overload, Placement, Score};
 use catkinusher_core::id::{Incarnation, Serial, ServiceId, UpstreamId};
 use catkinusher_core::placer::{
     Answer, Ask, Asker, Context, Granted, REPEAT_INTERVAL, RETRY_INTERVAL, Step, Verdict,
@@ -407,6 +407,9 @@
     if let Some(primary) = primary.as_ref().filter(|_| granted.limited) {
         fleet.on_limit_believed(primary);
     }
+    let next = granted
+        .next
+        .and_then(|(id, score)| Some((fleet.find_by_short_id(id)?.clone(), score)));
     drop(fleet);
     let (Some(primary), Some(address), true) = (primary, address, unusable.is_empty()) else {
         return Reply::Unusable(unusable);
@@ -420,7 +423,12 @@
             choices: granted.choices as usize,
             load: granted.load,
             wait: Duration::from_millis(granted.wait),
-            ..Basis::default()
+            shorts: granted.shorts as usize,
+            writers: granted.writers as usize,
+            age: granted.age.map(Duration::from_millis),
+            score: Score::from_thousandths(granted.score.unwrap_or_default()),
+            next: next.map(|(id, score)| (id, Score::from_thousandths(score))),
+            ranking: Vec::new(),
         },
     };
     let resources = state.begin_work(&placement);
