Tell where a request would go, with `catkinusher where`

Cause: an operator could see why a request went where it went only from the log of the node that sent it, and not at all before it was sent. Change: `core::dry_run::State` is a copy of what a node decides by, without API keys and content; it decides on a copy of the fleet and of the queue, with seeded random numbers, through the code of `Placer::on_ask`. A node answers `GET /where` at its health address with the upstream and all candidates with the terms of their scores, the refusal with its delay, or the node that places the requests; `GET /where?state` gives the state itself. `catkinusher where` asks a node or a saved state. An API key goes in a header and from a file. The mapping of an overload to a refusal moves to the core, as both use it.

--- a/crates/catkinusher-core/src/directory/mod.rs
+++ b/crates/catkinusher-core/src/directory/mod.rs
@@ -326,6 +326,16 @@
         self.services.get(name)
     }
 
+    /// All routes, those of a host in the order in which they are tried.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
+    /// The customers that have a key.
+    pub fn customers(&self) -> impl Iterator<Item = &Arc<Customer>> {
+        self.keys.values()
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
         self.services.values()
--- a/crates/catkinusher-core/src/fleet/cell.rs
+++ b/crates/catkinusher-core/src/fleet/cell.rs
@@ -36,7 +36,7 @@
 const PREFILL_GAP_MS: f32 = 250.0;
 
 /// A part of a service's upstreams.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Cell {
     /// The service.
     pub service: ServiceId,
@@ -118,7 +118,7 @@
 }
 
 /// Which services have several cells.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(super) struct Cells {
     split: BTreeSet<ServiceId>,
 }
--- a/crates/catkinusher-core/src/fleet/health.rs
+++ b/crates/catkinusher-core/src/fleet/health.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::time::Time;
 
 /// The weight of the newest outcome in the moving average of failures; a handful in a row make up most of it.
@@ -64,7 +66,7 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(super) struct Health {
     failure_rate: f64,
     updated_at: Time,
--- a/crates/catkinusher-core/src/fleet/limit.rs
+++ b/crates/catkinusher-core/src/fleet/limit.rs
@@ -69,7 +69,7 @@
 }
 
 /// What is known of the limit of one upstream, and the requests sent within it.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(super) struct NamedLimit {
     limit: Option<Rate>,
     observed_at: Time,
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -24,6 +24,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use self::cell::Cells;
 use self::health::Health;
 use self::limit::NamedLimit;
@@ -51,7 +53,7 @@
 /// It may not have heard from all nodes yet, so the count of live ones may be too low.
 pub const MIN_ASSUMED_NODES: usize = 12;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct Entry {
     upstream: Upstream,
     /// The position in the order that all nodes share.
@@ -88,7 +90,7 @@
 ///
 /// An upstream works through its prompts whether or not their first events are
 /// observed, so the estimate falls with the time that passes.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 struct Backlog {
     remaining_ms: u64,
     updated_at: Time,
@@ -107,7 +109,7 @@
 }
 
 /// The upstreams as one node sees them: their entries, health and load.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Fleet {
     /// The data centre of this node.
     home: DataCentreId,
--- a/crates/catkinusher-core/src/fleet/peers.rs
+++ b/crates/catkinusher-core/src/fleet/peers.rs
@@ -7,6 +7,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::load::{Cost, Load, WorkKind};
 use super::{Entry, Fleet, Placement};
 use crate::id::UpstreamId;
@@ -25,7 +27,7 @@
 /// The key of reported loads among the pending parts of an upstream; grants count from 1.
 const REPORTED: u64 = 0;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct Grant {
     number: u64,
     granted_at: Time,
@@ -33,7 +35,7 @@
 }
 
 /// What is known of the loads of one peer.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct PeerLoads {
     received_at: Time,
     /// By the short ids of the upstreams.
--- a/crates/catkinusher-core/src/fleet/place/choice.rs
+++ b/crates/catkinusher-core/src/fleet/place/choice.rs
@@ -6,7 +6,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::Candidate;
-use crate::fleet::Load;
 use crate::id::UpstreamId;
 
 /// Thousandths in one unit of a score.
@@ -76,8 +75,10 @@
     pub score: Score,
     /// The terms.
     pub terms: Vec<Term>,
-    /// Its known load.
-    pub load: Load,
+    /// The requests that it is known to answer.
+    pub answers: u32,
+    /// The parts of prompts that it is known to prefill for others.
+    pub parts: u32,
 }
 
 /// The terms of a candidate's score, with their names, in the order in which they are added.
@@ -98,7 +99,8 @@
             upstream: candidate.id.clone(),
             score: Score::new(self.total()),
             terms: self.0.iter().map(term).collect(),
-            load: candidate.load,
+            answers: candidate.load.active_requests(),
+            parts: candidate.load.parts,
         }
     }
 }
--- a/crates/catkinusher-core/src/fleet/place/sizing.rs
+++ b/crates/catkinusher-core/src/fleet/place/sizing.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::{Candidate, Policy};
 use crate::engine::EngineProfile;
 use crate::time::Time;
@@ -21,7 +23,7 @@
 /// The mean work that arrives, in engines that it keeps busy.
 ///
 /// Older arrivals weigh exponentially less.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 struct WorkRate {
     sum: f64,
     updated_at: Time,
@@ -40,7 +42,7 @@
 }
 
 /// A number of engines that rises immediately and falls only after a delay.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 struct DelayedCount {
     count: usize,
     needed_at: Time,
@@ -60,7 +62,7 @@
 ///
 /// All nodes compute them from the same loads, so they differ between nodes by
 /// about one engine, and only until the next load report arrives.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(in crate::fleet) struct PoolSizes {
     shorts: DelayedCount,
     writers: DelayedCount,
--- a/crates/catkinusher-core/src/lib.rs
+++ b/crates/catkinusher-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod digests;
 pub mod directory;
 pub mod drain;
+pub mod dry_run;
 pub mod engine;
 pub mod events;
 pub mod fair;
--- a/crates/catkinusher-core/src/placer/mod.rs
+++ b/crates/catkinusher-core/src/placer/mod.rs
@@ -10,8 +10,10 @@
 //! (see [docs/design/large.md](../../../../docs/design/large.md)).
 
 mod message;
+mod preview;
 
 pub use self::message::{Answer, Ask, Granted, Part, Verdict};
+pub use self::preview::Preview;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,6 +21,8 @@
 
 use rand::Rng;
 
+use serde::{Deserialize, Serialize};
+
 use crate::directory::Directory;
 use crate::fleet::{Authority, Cell, Demand, Fleet, Overload, Placement, Policy, Pressure};
 use crate::id::{Incarnation, Serial, UpstreamId};
@@ -40,7 +44,7 @@
 const PRESSURE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Who asks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Asker {
     /// The number of the node in load reports; `None` for this node itself.
     pub peer: Option<u64>,
@@ -57,7 +61,7 @@
     Forward(Ask),
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct Waiting {
     ask: Ask,
     received_at: Time,
@@ -87,7 +91,7 @@
 }
 
 /// The queue of a node that places requests, and what it knows of other cells.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Placer {
     process: Incarnation,
     waiting: BTreeMap<(Asker, Serial), Waiting>,
@@ -246,32 +250,9 @@
     where
         R: Rng,
     {
-        let Some(service) = context.directory.service(&ask.cell.service) else {
+        let Some(placed) = place(ask, queued, false, context, rng) else {
             return Verdict::Unable;
         };
-        let millis = |value| Duration::from_millis(value);
-        let avoid = ask
-            .avoid
-            .iter()
-            .filter_map(|id| context.fleet.find_by_short_id(*id).cloned())
-            .collect();
-        let demand = Demand {
-            prompt: ask.prompt,
-            answer: ask.answer,
-            objective: millis(ask.objective),
-            pause: ask.pause.map(millis),
-            age: millis(ask.age) + queued,
-            patience: millis(ask.patience),
-            waited: millis(ask.waited) + queued,
-            time_left: millis(ask.left).saturating_sub(queued),
-            avoid,
-            within: ask.cell.data_centre.clone(),
-            authority: Authority::Shared,
-            trace: false,
-        };
-        let placed = context
-            .fleet
-            .place(service, &demand, context.policy, context.now, rng);
         match placed {
             Ok(placement) => {
                 let number = asker
@@ -296,6 +277,44 @@
     }
 }
 
+/// Places an ask that has been in the queue for the time `queued`, unless its service is unknown.
+///
+/// `trace` asks for the scores of all candidates.
+fn place<R>(
+    ask: &Ask,
+    queued: Duration,
+    trace: bool,
+    context: &mut Context<'_>,
+    rng: &mut R,
+) -> Option<Result<Placement, Overload>>
+where
+    R: Rng,
+{
+    let service = context.directory.service(&ask.cell.service)?;
+    let millis = Duration::from_millis;
+    let avoid = ask
+        .avoid
+        .iter()
+        .filter_map(|id| context.fleet.find_by_short_id(*id).cloned())
+        .collect();
+    let demand = Demand {
+        prompt: ask.prompt,
+        answer: ask.answer,
+        objective: millis(ask.objective),
+        pause: ask.pause.map(millis),
+        age: millis(ask.age) + queued,
+        patience: millis(ask.patience),
+        waited: millis(ask.waited) + queued,
+        time_left: millis(ask.left).saturating_sub(queued),
+        avoid,
+        within: ask.cell.data_centre.clone(),
+        authority: Authority::Shared,
+        trace,
+    };
+    let (policy, now) = (context.policy, context.now);
+    Some(context.fleet.place(service, &demand, policy, now, rng))
+}
+
 const fn answer(serial: Serial, verdict: Verdict) -> Step {
     Step::Answer(Answer { serial, verdict })
 }
--- a/crates/catkinusher/src/command/mod.rs
+++ b/crates/catkinusher/src/command/mod.rs
@@ -12,6 +12,7 @@
 mod summary;
 mod traffic;
 mod validate;
+mod where_to;
 
 use std::io::Write;
 
@@ -29,6 +30,7 @@
 pub(crate) use load::Load;
 pub(crate) use status::Status;
 pub(crate) use validate::Validate;
+pub(crate) use where_to::Where;
 
 use summary::Summary;
 
--- a/crates/catkinusher/src/failure/mod.rs
+++ b/crates/catkinusher/src/failure/mod.rs
@@ -27,6 +27,9 @@
     /// A file cannot be read.
     #[error("{0}: {1}")]
     File(String, #[source] io::Error),
+    /// A file holds no state of a node.
+    #[error("{0}: no state saved by this version: {1}")]
+    Saved(String, String),
     /// A file has faults.
     #[error("{}{} in {file}", faults.in_file(file), count(faults))]
     Faults {
@@ -99,7 +102,11 @@
     /// The exit code that tells it.
     pub(crate) const fn exit(&self) -> Exit {
         match self {
-            Self::Usage(..) | Self::File(..) | Self::Faults { .. } | Self::Plan(_) => Exit::Usage,
+            Self::Usage(..)
+            | Self::File(..)
+            | Self::Saved(..)
+            | Self::Faults { .. }
+            | Self::Plan(_) => Exit::Usage,
             Self::Conflict(_) | Self::Contended(_) => Exit::Conflict,
             Self::Platform(_) => Exit::Away,
             Self::Unknown { .. } => Exit::Unknown,
--- a/crates/catkinusher/src/lib.rs
+++ b/crates/catkinusher/src/lib.rs
@@ -19,7 +19,7 @@
 pub use exit::Exit;
 
 use command::{
-    Apply, Demo, Difference, Drain, Explain, Get, Load, Status, Undrain, Validate, execute,
+    Apply, Demo, Difference, Drain, Explain, Get, Load, Status, Undrain, Validate, Where, execute,
 };
 use failure::{Failure, Result};
 
@@ -37,6 +37,7 @@
     undrain KIND NAME   take it back into service
     status              tell what is in force, drained and healthy
     explain REQUEST     tell why a request went where it went
+    where               tell where a request would go now, without sending it
     load                send traffic with a mix of prompt lengths and measure it
     demo                show the main job on embedded stand-ins
 
@@ -95,6 +96,7 @@
         "undrain" => execute::<Undrain, _>(invocation, args, out).await,
         "status" => execute::<Status, _>(invocation, args, out).await,
         "explain" => execute::<Explain, _>(invocation, args, out).await,
+        "where" => execute::<Where, _>(invocation, args, out).await,
         "load" => execute::<Load, _>(invocation, args, out).await,
         "demo" => execute::<Demo, _>(invocation, args, out).await,
         other => Err(Failure::Usage(format!("`{other}` is no command"), "")),
--- a/crates/catkinusher/tests/command_line.rs
+++ b/crates/catkinusher/tests/command_line.rs
@@ -36,7 +36,8 @@
     let an = Operator::new("an", &handle);
     let mut texts = vec![an.call(&["--help"]).await.to_string()];
     for command in [
-        "validate", "diff", "apply", "get", "drain", "undrain", "status", "explain", "load", "demo",
+        "validate", "diff", "apply", "get", "drain", "undrain", "status", "explain", "where",
+        "load", "demo",
     ] {
         texts.push(an.call(&[command, "--help"]).await.to_string());
     }
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use catkinusher_core::directory::Repeat;
+use catkinusher_core::dry_run::NO_UPSTREAM_RETRY_AFTER;
 use catkinusher_core::fleet::{Cost, Fault, Placement, WorkId};
 use catkinusher_core::id::UpstreamId;
 use catkinusher_core::outcome::{Evidence, Refusal};
@@ -35,9 +36,6 @@
 /// or moved upstreams or for lack of memory, before a request is refused.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 
-/// The retry delay given to callers when no upstream is available; upstreams restart within seconds.
-const NO_UPSTREAM_RETRY_AFTER: Span = Span::from_millis(500);
-
 /// The retry delay given to callers after an upstream refused the request.
 const REFUSED_RETRY_AFTER: Span = Span::from_millis(300);
 
--- a/crates/catkinusherd/src/gateway/attempt/turn.rs
+++ b/crates/catkinusherd/src/gateway/attempt/turn.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use catkinusher_core::dry_run::{MAX_AVOIDED, refusal_for};
 use catkinusher_core::fleet::{Authority, Cell, Demand, Fleet, Overload, Placement};
 use catkinusher_core::id::Serial;
 use catkinusher_core::outcome::Refusal;
@@ -10,15 +11,11 @@
 use catkinusher_core::units::Span;
 use tracing::info;
 
-use super::NO_UPSTREAM_RETRY_AFTER;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::handle::Job;
 use crate::gateway::open::Stage;
 use crate::gateway::placing::{self, NotPlaced, Placed};
 
-/// The most unusable upstreams that an ask names.
-const MAX_AVOIDED: usize = 24;
-
 impl<D> Job<D>
 where
     D: Dialect,
@@ -110,25 +107,12 @@
 
     /// The refusal for an overload.
     fn overload_refusal(&self, overload: Overload) -> Refusal {
-        let full = |after| Refusal::QueueFull {
-            service: self.service.clone(),
-            after,
-        };
-        match overload {
-            Overload::Full(wait) | Overload::Queued(wait) => {
-                self.history.refusal_after_attempts(full(Span::new(wait)))
-            }
-            Overload::TooLong => self
-                .history
-                .refusal_after_attempts(full(NO_UPSTREAM_RETRY_AFTER)),
-            Overload::Late(_) if self.outlives_node() => self.stop_refusal(),
-            Overload::Late(needs) => self.history.refusal_after_attempts(Refusal::TooLate {
-                predicted: Span::new(needs),
-                left: Span::new(self.time_left()),
-                after: NO_UPSTREAM_RETRY_AFTER,
-            }),
-            Overload::None => self.no_upstream_refusal(NO_UPSTREAM_RETRY_AFTER),
+        if matches!(overload, Overload::Late(_)) && self.outlives_node() {
+            return self.stop_refusal();
         }
+        let rest = self.state.fleet().rest(&self.service, self.state.now());
+        let refusal = refusal_for(overload, &self.service, rest, self.time_left());
+        self.history.refusal_after_attempts(refusal)
     }
 
     fn place(&self) -> Result<(Placement, SocketAddr), Overload> {
--- a/crates/catkinusherd/src/gateway/front.rs
+++ b/crates/catkinusherd/src/gateway/front.rs
@@ -18,6 +18,7 @@
 use tracing::{debug, warn};
 
 use super::dialect::Dialect;
+use super::dry_run;
 use super::handle;
 use super::state::State;
 use crate::framed::ScannedStream;
@@ -103,7 +104,7 @@
     }
 }
 
-/// Serves the load balancer's health check and the metrics.
+/// Serves the load balancer's health check, the metrics, and where a request would go.
 pub(super) fn serve_health<D>(state: Arc<State<D>>, listener: TcpListener)
 where
     D: Dialect,
@@ -132,12 +133,13 @@
 }
 
 fn health_response<D>(state: &State<D>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let (status, text) = match request.uri().path() {
-        "/metrics" => (StatusCode::OK, state.metrics_text()),
-        _ if state.is_ready() => (StatusCode::OK, String::new()),
-        _ => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+    let (status, body) = match request.uri().path() {
+        dry_run::PATH => dry_run::respond(state, request),
+        "/metrics" => (StatusCode::OK, state.metrics_text().into()),
+        _ if state.is_ready() => (StatusCode::OK, Bytes::new()),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
     };
-    let mut response = Response::new(Full::new(Bytes::from(text)));
+    let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
     response
 }
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod bad_entries;
 mod clock;
 mod confirm;
+mod dry_run;
 mod front;
 mod handle;
 mod metrics;
