--- a/crates/catkinusher-core/benches/decisions/even.rs
+++ b/crates/catkinusher-core/benches/decisions/even.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use catkinusher_core::fleet::spread::{Choice, Sends, Spread};
+use catkinusher_core::fleet::spread::{Offer, Sends, Spread};
 use catkinusher_core::roster::Position;
 use catkinusher_core::time::Time;
 use rand::{RngExt, SeedableRng};
@@ -286,7 +286,7 @@
         let slots = self.pool.slots as f64;
         let choice = |one: &Upstream| {
             let load = one.known(node, now - self.age, now) as f64;
-            Choice {
+            Offer {
                 load: load / slots,
                 step: 1.0 / slots,
                 room: (slots - load).max(0.0),
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -20,13 +20,15 @@
 pub use self::limit::LimitReport;
 pub use self::load::{Cost, Load, WorkId, WorkKind};
 pub use self::peers::GRANT_TTL;
-pub use self::place::{Authority, Basis, Demand, Overload, Placement, Policy};
+pub use self::place::{Authority, Basis, Demand, Overload, Placement, Policy, Ranked, Score, Term};
 pub use self::said::NamedLoad;
 pub use self::upstream::Upstream;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use self::cell::Cells;
 use self::health::Health;
 use self::limit::NamedLimit;
@@ -57,7 +59,7 @@
 /// It may not have heard from all nodes yet, so the count of live ones may be too low.
 pub const MIN_ASSUMED_NODES: usize = 12;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct Entry {
     upstream: Upstream,
     /// The position in the order that all nodes share.
@@ -96,7 +98,7 @@
 ///
 /// An upstream works through its prompts whether or not their first events are
 /// observed, so the estimate falls with the time that passes.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 struct Backlog {
     remaining_ms: u64,
     updated_at: Time,
@@ -115,13 +117,15 @@
 }
 
 /// The upstreams as one node sees them: their entries, health and load.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Fleet {
     /// The data centre of this node.
     home: DataCentreId,
     entries: BTreeMap<UpstreamId, Entry>,
     drained: BTreeSet<DataCentreId>,
     peers: HashMap<u64, PeerLoads>,
+    /// When the last load report of a peer was received.
+    reported_at: Option<Time>,
     short_ids: HashMap<u32, UpstreamId>,
     cells: Cells,
     /// The number of registered nodes; not all of them report to this one.
@@ -145,6 +149,7 @@
             entries: BTreeMap::new(),
             drained: BTreeSet::new(),
             peers: HashMap::new(),
+            reported_at: None,
             short_ids: HashMap::new(),
             cells: Cells::default(),
             node_count: 1,
--- a/crates/catkinusher-core/src/fleet/place/alone.rs
+++ b/crates/catkinusher-core/src/fleet/place/alone.rs
@@ -8,9 +8,11 @@
 use rand::Rng;
 
 use super::long::LongPlacement;
-use super::{Candidate, Demand, Overload, Placement, Policy, over_limit, prepare, short_placement};
+use super::{
+    Basis, Candidate, Demand, Overload, Placement, Policy, over_limit, prepare, short_placement,
+};
 use crate::engine::EngineProfile;
-use crate::fleet::spread::{Choice, Spread};
+use crate::fleet::spread::{Offer, Spread};
 use crate::units::Tokens;
 
 /// What an answer on an engine adds to the load that a long prompt finds there, in milliseconds of prefill.
@@ -20,13 +22,13 @@
 const FAILURE_WEIGHT_MS: f64 = 500.0;
 
 /// The index of this node's choice among the candidates that may answer.
-pub(super) fn pick<F>(candidates: &[Candidate<'_>], spread: &Spread, choice: F) -> Option<usize>
+pub(super) fn pick<F>(candidates: &[Candidate<'_>], spread: &Spread, offer: F) -> Option<usize>
 where
-    F: Fn(&Candidate<'_>) -> Choice,
+    F: Fn(&Candidate<'_>) -> Offer,
 {
     let may_answer = |index: &usize| candidates[*index].may_answer();
     let open: Vec<usize> = (0..candidates.len()).filter(may_answer).collect();
-    let picked = spread.pick(open.iter().map(|index| choice(&candidates[*index])))?;
+    let picked = spread.pick(open.iter().map(|index| offer(&candidates[*index])))?;
     Some(open[picked])
 }
 
@@ -94,21 +96,25 @@
         };
         let slot = 1.0 / f64::from(self.profile.slots.max(1));
         let threshold_ms = self.policy.long_threshold.as_secs_f64() * 1e3;
-        let choice = |candidate: &Candidate<'_>| {
+        let offer = |candidate: &Candidate<'_>| {
             let load = &candidate.load;
             let answers = f64::from(load.active_requests()) * slot;
             let prefill = load.pending_prefill_ms as f64 / threshold_ms;
-            Choice {
+            Offer {
                 load: answers + prefill + candidate.penalty(),
                 step: slot + prefill_time.as_secs_f64() * 1e3 / threshold_ms,
                 room: f64::from(free_slots(candidate, self.profile.slots)),
             }
         };
-        let picked = pick(group, &self.spread, choice);
+        let picked = pick(group, &self.spread, offer);
         let best = picked.ok_or_else(|| over_limit(engines))?;
         short_placement(
             &group[best],
-            (engines.len(), engines.len()),
+            Basis {
+                choices: engines.len(),
+                shorts: engines.len(),
+                ..Basis::default()
+            },
             self.profile,
             self.demand,
             self.policy,
@@ -134,13 +140,13 @@
                 0
             }
         };
-        let choice = |candidate: &Candidate<'_>| Choice {
+        let offer = |candidate: &Candidate<'_>| Offer {
             load: candidate.load.pending_prefill_ms as f64
                 + f64::from(candidate.load.active_requests()) * ANSWER_WEIGHT_MS
                 + candidate.failure_rate * FAILURE_WEIGHT_MS,
             step: part_time.as_secs_f64() * 1e3 + ANSWER_WEIGHT_MS,
             room: f64::from(room(candidate)),
         };
-        pick(engines, &self.spread, choice)
+        pick(engines, &self.spread, offer)
     }
 }
--- a/crates/catkinusher-core/src/fleet/place/mod.rs
+++ b/crates/catkinusher-core/src/fleet/place/mod.rs
@@ -8,6 +8,7 @@
 //! those, several engines per prompt.
 
 mod alone;
+mod choice;
 mod long;
 mod sizing;
 mod types;
@@ -15,15 +16,17 @@
 
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
+pub use self::choice::{Ranked, Score, Term};
 pub(super) use self::sizing::PoolSizes;
 pub use self::types::{Authority, Basis, Demand, Overload, Placement, Policy};
 
 use self::alone::AlonePlacement;
+use self::choice::{Choice, Terms, choose};
 use self::long::LongPlacement;
 use self::work::WorkPlacement;
-use super::spread::{Choice, Spread};
+use super::spread::{Offer, Spread};
 use super::{Cell, Cost, Entry, Fleet, Load, WorkKind};
 use crate::directory::Service;
 use crate::engine::EngineProfile;
@@ -140,7 +143,10 @@
             let sends = self.sends.entry(service.name.clone()).or_default();
             sends.on_send(now);
         }
-        placed
+        placed.map(|mut placement| {
+            placement.basis.age = self.reported_at.map(|at| now.since(at));
+            placement
+        })
     }
 
     fn candidates(&self, service: &Service, demand: &Demand, now: Time) -> Vec<Candidate<'_>> {
@@ -203,23 +209,26 @@
         R: Rng,
     {
         let candidates = self.candidates(service, demand, now);
-        let score = |candidate: &Candidate<'_>| {
+        let terms = |candidate: &Candidate<'_>| {
             let slots = f64::from(candidate.slots.max(1));
             let utilization = f64::from(candidate.load.active_requests()) / slots;
-            utilization + candidate.penalty()
+            Terms([
+                ("utilization", utilization),
+                ("penalty", candidate.penalty()),
+            ])
         };
-        let choice = |candidate: &Candidate<'_>| Choice {
-            load: score(candidate),
+        let offer = |candidate: &Candidate<'_>| Offer {
+            load: terms(candidate).total(),
             step: 1.0 / f64::from(candidate.slots.max(1)),
             room: f64::from(alone::free_slots(candidate, candidate.slots)),
         };
-        let best = match &spread {
-            None => pick_lowest(&candidates, score, rng),
-            Some(spread) => {
-                alone::pick(&candidates, spread, choice).map(|index| &candidates[index])
-            }
+        let choice = match &spread {
+            None => pick_lowest(&candidates, terms, demand.trace, rng),
+            Some(spread) => alone::pick(&candidates, spread, offer)
+                .map(|index| Choice::only(&candidates[index], terms(&candidates[index]))),
         };
-        let best = best.ok_or_else(|| over_limit(&candidates))?;
+        let choice = choice.ok_or_else(|| over_limit(&candidates))?;
+        let best = choice.best;
         let slots = best.slots;
         if best.load.active_requests() >= slots + policy.max_queued.max(slots) {
             return Err(Overload::Full(RETRY_AFTER_PLAIN));
@@ -231,6 +240,9 @@
             basis: Basis {
                 choices: candidates.len(),
                 load: best.load,
+                score: choice.score,
+                next: choice.next(),
+                ranking: choice.ranking,
                 ..Basis::default()
             },
         })
@@ -275,7 +287,9 @@
         policy,
         prefill_time,
     };
-    long.place(rng)
+    let mut placed = long.place(rng)?;
+    placed.basis.shorts = shorts;
+    Ok(placed)
 }
 
 /// Sorts the engines into the order that all nodes share, unless none of them can answer the prompt in time.
@@ -323,28 +337,32 @@
 {
     let slots = f64::from(profile.slots.max(1));
     let threshold_ms = policy.long_threshold.as_millis() as f64;
-    let score = |candidate: &Candidate<'_>| {
+    let terms = |candidate: &Candidate<'_>| {
         let utilization = f64::from(candidate.load.active_requests()) / slots;
         let full_penalty = if utilization < 1.0 { 0.0 } else { FULL_PENALTY };
         let prefill = candidate.load.pending_prefill_ms as f64 / threshold_ms;
-        utilization + full_penalty + prefill + candidate.penalty()
+        Terms([
+            ("utilization", utilization),
+            ("full", full_penalty),
+            ("prefill", prefill),
+            ("penalty", candidate.penalty()),
+        ])
     };
     let short_engines = &engines[..shorts.clamp(1, engines.len())];
-    let has_slot = |best: &&Candidate<'_>| best.load.active_requests() < profile.slots;
-    let best = pick_lowest(short_engines, score, rng)
+    let has_slot = |choice: &Choice<'_, '_>| choice.best.load.active_requests() < profile.slots;
+    let choice = pick_lowest(short_engines, terms, demand.trace, rng)
         .filter(has_slot)
         // An engine for long prompts is better than waiting for a slot.
-        .or_else(|| pick_lowest(engines, score, rng))
+        .or_else(|| pick_lowest(engines, terms, demand.trace, rng))
         .ok_or_else(|| over_limit(engines))?;
-    let choices = (engines.len(), shorts);
-    short_placement(best, choices, profile, demand, policy, prefill_time)
+    let basis = choice.basis(engines.len(), shorts);
+    short_placement(choice.best, basis, profile, demand, policy, prefill_time)
 }
 
-/// The placement of a short prompt on the engine `best`; `choices` are the numbers of engines, and of those for
-/// short prompts.
+/// The placement of a short prompt on the engine `best`, which was chosen for the reasons in `basis`.
 fn short_placement(
     best: &Candidate<'_>,
-    choices: (usize, usize),
+    basis: Basis,
     profile: &EngineProfile,
     demand: &Demand,
     policy: &Policy,
@@ -362,11 +380,9 @@
         },
         helpers: Vec::new(),
         basis: Basis {
-            choices: choices.0,
-            shorts: choices.1,
             load: best.load,
             wait: Duration::from_millis(best.load.pending_prefill_ms),
-            ..Basis::default()
+            ..basis
         },
     })
 }
@@ -382,24 +398,19 @@
 }
 
 /// The candidate with the lowest score among those that may answer; ties are broken at random.
-fn pick_lowest<'a, 'b, F, R>(
+fn pick_lowest<'a, 'b, F, R, const N: usize>(
     candidates: &'b [Candidate<'a>],
-    score: F,
+    terms: F,
+    trace: bool,
     rng: &mut R,
-) -> Option<&'b Candidate<'a>>
+) -> Option<Choice<'a, 'b>>
 where
-    F: Fn(&Candidate<'a>) -> f64,
+    F: Fn(&Candidate<'a>) -> Terms<N>,
     R: Rng,
 {
-    candidates
+    let able = candidates
         .iter()
         .filter(|candidate| candidate.may_answer())
-        .map(|candidate| {
-            (
-                score(candidate) + rng.random_range(0.0..TIE_WIDTH),
-                candidate,
-            )
-        })
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .map(|(_, candidate)| candidate)
+        .map(|candidate| (candidate, terms(candidate)));
+    choose(able, TIE_WIDTH, trace, rng)
 }
--- a/crates/catkinusher-core/src/fleet/said.rs
+++ b/crates/catkinusher-core/src/fleet/said.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::spread::{INFORMATION_TTL, Spread};
 use super::{Authority, Demand, Entry, Fleet, Load};
 use crate::id::{ServiceId, UpstreamId};
@@ -26,7 +28,7 @@
 }
 
 /// A named load without the requests of this node, which are known exactly.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(super) struct Said {
     others: u32,
     slots: u32,
--- a/crates/catkinusher-core/src/fleet/spread.rs
+++ b/crates/catkinusher-core/src/fleet/spread.rs
@@ -9,6 +9,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::roster::Position;
 use crate::time::Time;
 
@@ -21,7 +23,7 @@
 const BURST_TIME: Duration = Duration::from_millis(100);
 
 /// The own sends to one service.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Sends {
     /// The sends since the last pause; after a pause all nodes are at their start positions again.
     turn: usize,
@@ -51,7 +53,7 @@
 
 /// What one upstream offers to a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Choice {
+pub struct Offer {
     /// Its known load.
     pub load: f64,
     /// What one request adds to the load.
@@ -105,9 +107,9 @@
     #[must_use]
     pub fn pick<I>(&self, choices: I) -> Option<usize>
     where
-        I: IntoIterator<Item = Choice>,
+        I: IntoIterator<Item = Offer>,
     {
-        let choices: Vec<Choice> = choices.into_iter().collect();
+        let choices: Vec<Offer> = choices.into_iter().collect();
         let arcs = self.arcs(&choices);
         let start = (self.position.rank as f64 + 0.5) / self.position.count.max(1) as f64;
         let moved = (self.advance % choices.len().max(1)) as f64 / choices.len().max(1) as f64;
@@ -123,12 +125,12 @@
     }
 
     /// How many of the unseen requests and the present one each upstream should get.
-    fn arcs(&self, choices: &[Choice]) -> Vec<f64> {
+    fn arcs(&self, choices: &[Offer]) -> Vec<f64> {
         let least = choices.iter().map(|choice| choice.load).reduce(f64::min);
         let least = least.unwrap_or_default();
         let rate: f64 = choices.iter().map(|choice| 1.0 / choice.step).sum();
         let margin = self.unseen / rate;
-        let excess = |choice: &Choice| (choice.load - least - margin).max(0.0);
+        let excess = |choice: &Offer| (choice.load - least - margin).max(0.0);
         let mut sorted: Vec<(f64, f64)> = choices
             .iter()
             .map(|choice| (excess(choice), 1.0 / choice.step))
@@ -147,7 +149,7 @@
         }
         level += left / rate;
         let is_full = choices.iter().all(|choice| choice.room <= 0.0);
-        let arc = |choice: &Choice| {
+        let arc = |choice: &Offer| {
             let arc = (level - excess(choice)).max(0.0) / choice.step;
             if is_full { arc } else { arc.min(choice.room) }
         };
--- a/crates/catkinusher-core/src/roster/mod.rs
+++ b/crates/catkinusher-core/src/roster/mod.rs
@@ -58,7 +58,7 @@
 }
 
 /// The position of a node among the registered ones, in an order that is the same at all nodes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Position {
     /// The number of nodes before it.
     pub rank: usize,
