--- a/crates/catkinusher-core/src/placer/preview.rs
+++ b/crates/catkinusher-core/src/placer/preview.rs
@@ -51,8 +51,8 @@
         if let Some(cell) = placer.better_cell(ask, &context) {
             return Preview::Forwarded(cell);
         }
-        let placed = super::place(ask, Duration::ZERO, true, &mut context, rng);
-        let overload = match placed {
+        let result = super::place(ask, Duration::ZERO, true, &mut context, rng);
+        let overload = match result {
             None => return Preview::Unable,
             Some(Ok(placement)) => return Preview::Placed(Box::new(placement)),
             Some(Err(Overload::Queued(_))) => return Preview::Waiting,
--- a/crates/catkinusher-core/tests/engines/mod.rs
+++ b/crates/catkinusher-core/tests/engines/mod.rs
@@ -354,6 +354,7 @@
         time_left: Duration::from_secs(15).saturating_sub(waited),
         avoid: Vec::new(),
         within: (balancer == Balancer::Cell).then(|| CELL.parse().unwrap()),
+        trace: false,
         authority: if balancer == Balancer::Cell {
             Authority::Shared
         } else {
