Spread short prompts of a cell before its mix is known

Placement itself took 3 ms, so waiting for nodes that do not answer was not the cause.

Cause: a node that has just taken over knew no arriving work for 2 s, and sized the pool by the answers that it had placed itself.

Until work has arrived for half a second, half of the engines now are for short prompts; after that the means are corrected for the time that is missing from them, in place of waiting for a whole window.

Evidence: a_burst_at_a_node_that_has_just_taken_over_uses_many_engines failed before (8 of 40 prompts on one engine) and passes.

--- a/crates/catkinusher-core/src/fleet/place/sizing.rs
+++ b/crates/catkinusher-core/src/fleet/place/sizing.rs
@@ -26,6 +26,9 @@
 /// The time over which the arriving work is averaged; one long prompt in it must not change the sizes by much.
 const WORK_WINDOW: Duration = Duration::from_secs(2);
 
+/// The least time for which work has arrived when the pools are sized by it.
+const LEAST_WINDOW: Duration = Duration::from_millis(500);
+
 /// The mean work that arrives, in engines that it keeps busy.
 ///
 /// Older arrivals weigh exponentially less.
@@ -74,7 +77,7 @@
     writers: DelayedCount,
     short_work: WorkRate,
     long_work: WorkRate,
-    /// When the first work arrived.
+    /// When the first work arrived, or the first after a pause.
     began_at: Option<Time>,
 }
 
@@ -94,7 +97,7 @@
     /// The same, sized by the work that arrives.
     ///
     /// Each pool gets the engines that its work keeps busy, and the others are divided by the square
-    /// roots of the works, which minimises the mean delay (square-root capacity assignment). A node that has just taken over knows only the running answers.
+    /// roots of the works, which minimises the mean delay (square-root capacity assignment).
     pub(super) fn short_engines_by_work(
         &mut self,
         engines: &[Candidate<'_>],
@@ -103,26 +106,32 @@
         now: Time,
     ) -> usize {
         let occupied = occupied_by_shorts(engines, profile, CELL_FILL_RATIO);
-        let is_known = self.began_at.is_some_and(|at| now.since(at) >= WORK_WINDOW);
-        let wanted = if is_known {
-            occupied.max(self.wanted_by_work(engines.len(), now))
-        } else {
-            occupied
-        };
+        let wanted = occupied.max(self.wanted_by_work(engines.len(), now));
         self.resize_shorts(wanted, engines.len(), policy, now)
     }
 
     fn wanted_by_work(&self, count: usize, now: Time) -> usize {
-        let (short, long) = (self.short_work.decayed(now), self.long_work.decayed(now));
+        let max = count - count / IDLE_POOL_DIVISOR;
+        // Load: all callers repeat at once at a node that has just taken over, and knows no mix.
+        let known_for = self.began_at.map_or(Duration::ZERO, |at| now.since(at));
+        if known_for < LEAST_WINDOW || self.has_paused(now) {
+            return max;
+        }
+        // The weight of the time before the first work is missing from the means.
+        let weight = 1.0 - (-known_for.as_secs_f64() / WORK_WINDOW.as_secs_f64()).exp();
+        let short = self.short_work.decayed(now) / weight;
+        let long = self.long_work.decayed(now) / weight;
         let idle = (count as f64 - short - long).max(0.0);
         let (short_root, long_root) = (short.sqrt(), long.sqrt());
         let share = short_root / (short_root + long_root).max(f64::MIN_POSITIVE);
-        ((short + idle * share).round() as usize).min(count - count / IDLE_POOL_DIVISOR)
+        ((short + idle * share).round() as usize).min(max)
     }
 
     /// Records the prefill work of a prompt that was placed.
     pub(super) fn on_work(&mut self, is_short: bool, prefill_time: Duration, now: Time) {
-        self.began_at.get_or_insert(now);
+        if self.began_at.is_none() || self.has_paused(now) {
+            self.began_at = Some(now);
+        }
         let rate = if is_short {
             &mut self.short_work
         } else {
@@ -131,6 +140,12 @@
         rate.add(prefill_time, now);
     }
 
+    /// Whether no work has arrived for so long that the means say nothing about the mix.
+    fn has_paused(&self, now: Time) -> bool {
+        let last_at = self.short_work.updated_at.max(self.long_work.updated_at);
+        now.since(last_at) >= WORK_WINDOW * 2
+    }
+
     fn resize_shorts(&mut self, wanted: usize, count: usize, policy: &Policy, now: Time) -> usize {
         let max = count
             .saturating_sub((count / LONG_POOL_DIVISOR).max(1))
--- a/crates/catkinusher-core/tests/cell_placement.rs
+++ b/crates/catkinusher-core/tests/cell_placement.rs
@@ -2,6 +2,7 @@
 
 mod site;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use catkinusher_core::fleet::{
@@ -218,3 +219,18 @@
         "the backlog is done"
     );
 }
+
+// Load: all callers repeat at once after a loss of all nodes, at a node that has just taken over. It put
+// them on the two engines that its own grants filled first, while the others idled.
+#[test]
+fn a_burst_at_a_node_that_has_just_taken_over_uses_many_engines() {
+    let mut fleet = fleet(18);
+    let mut placed = BTreeMap::<UpstreamId, u32>::new();
+    for number in 0..40 {
+        let placement = place(&mut fleet, &short(), ms(number)).unwrap();
+        begin(&mut fleet, &placement, ms(number));
+        *placed.entry(placement.primary).or_default() += 1;
+    }
+    let most = placed.values().max().unwrap();
+    assert!(placed.len() >= 9 && *most <= 6, "{placed:?}");
+}
