Decide who gets memory for held data

Cause: nothing bounds the sum of request bodies, buffered answers and unread events that a node holds. A plain limit is not enough: bodies could take it all, and answers that wait for each other's memory would wait until their deadlines. Change: core::memory divides the bound. The bound is not used by a node yet.

--- a/crates/catkinusher-core/src/lib.rs
+++ b/crates/catkinusher-core/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod membership;
+pub mod memory;
 pub mod object;
 pub mod outcome;
 pub mod owner;
