Bound the data that a node holds by its memory limit

Cause: many large bodies at once took a node above its memory limit; the platform killed it and all of its connections were cut. A stream whose caller did not read also kept its upstream past the deadline, as the wait for room in the caller's queue had no end. Change: bodies, buffered answers and events take memory from 40 % of memory-mb and return it when the last reference is dropped. A body that does not fit is refused at once with 503 memory-full, not-run and Retry-After, and its rest is discarded within 2 s; answers and streams wait, until their deadlines. Without memory-mb there is no bound. A stream counts as whole only if it is finished, so an interruption does not wait for room in the queue. Gauge held_bytes, counter memory_refusals; platform/tests/memory.rs. Not run: all tests of catkinusher-core but memory, refusals and events. Conclusion: the sum of held data stays within the bound, also with slow callers.

--- a/crates/catkinusher-core/src/events/mod.rs
+++ b/crates/catkinusher-core/src/events/mod.rs
@@ -78,6 +78,12 @@
         self.count
     }
 
+    /// The size of the partial event that is buffered, in bytes.
+    #[must_use]
+    pub const fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether no partial event is buffered.
     #[must_use]
     pub const fn is_at_boundary(&self) -> bool {
--- a/crates/catkinusher-core/src/outcome/refusal.rs
+++ b/crates/catkinusher-core/src/outcome/refusal.rs
@@ -115,6 +115,12 @@
         /// Delay after which a retry is useful.
         after: Span,
     },
+    /// The node has no memory for the request's body.
+    #[error("the node has no memory for the request's body at present")]
+    MemoryFull {
+        /// Delay after which a retry is useful.
+        after: Span,
+    },
     /// The request is predicted to end after its deadline.
     #[error("the request would take about {predicted} and has {left}")]
     TooLate {
@@ -279,6 +285,7 @@
             Self::Forbidden { .. } => spec("forbidden", "Forbidden", 403, Access),
             Self::OverLimit { .. } => spec("over-limit", "Over the customer's limit", 429, Load),
             Self::QueueFull { .. } => spec("queue-full", "Queue full", 503, Load),
+            Self::MemoryFull { .. } => spec("memory-full", "Memory full", 503, Load),
             Self::TooLate { .. } => spec("too-late", "Would end too late", 503, Load),
             Self::NoUpstream { .. } => spec("no-upstream", "No upstream", 503, Upstream),
             Self::ModelAway { .. } => spec("model-away", "Model not loaded", 503, Upstream),
@@ -371,6 +378,7 @@
         match self {
             Self::OverLimit { after, .. }
             | Self::QueueFull { after, .. }
+            | Self::MemoryFull { after }
             | Self::TooLate { after, .. }
             | Self::NoUpstream { after, .. }
             | Self::ModelAway { after, .. }
--- a/crates/catkinusher-core/tests/refusals.rs
+++ b/crates/catkinusher-core/tests/refusals.rs
@@ -34,6 +34,7 @@
             service: service(),
             after,
         },
+        Refusal::MemoryFull { after },
         Refusal::TooLate {
             predicted: Span::from_secs(9),
             left: Span::from_secs(3),
--- a/crates/catkinusherd/src/gateway/answer.rs
+++ b/crates/catkinusherd/src/gateway/answer.rs
@@ -1,7 +1,9 @@
 //! Answers to callers: those of upstreams, and refusals.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,13 +22,90 @@
 #[error("upstream stream ended before its last event")]
 pub(super) struct StreamInterrupted;
 
+/// The number of events queued for a slow caller before reading from its upstream pauses.
+const EVENT_QUEUE: usize = 16;
+
 /// The body of an answer.
 #[derive(Debug)]
 pub(super) enum AnswerBody {
     /// The complete body.
     Whole(Option<Bytes>),
     /// Events, forwarded as they arrive.
-    Events(mpsc::Receiver<Result<Bytes, StreamInterrupted>>),
+    Events(EventStream),
+}
+
+/// The events of a stream that are yet to be sent to the caller.
+#[derive(Debug)]
+pub(super) struct EventStream {
+    queue: mpsc::Receiver<Bytes>,
+    /// Whether the queued events include the last one.
+    is_whole: Arc<AtomicBool>,
+    has_ended: bool,
+}
+
+/// Queues the events of a stream for the caller.
+///
+/// If it is dropped before [`finish`](Self::finish), the stream is interrupted after the queued
+/// events. This needs no room in the queue, so it does not wait for a caller that does not read.
+#[derive(Debug)]
+pub(super) struct EventSender {
+    queue: mpsc::Sender<Bytes>,
+    is_whole: Arc<AtomicBool>,
+}
+
+impl EventSender {
+    /// Creates a sender and the body that sends its events.
+    pub(super) fn new() -> (Self, AnswerBody) {
+        let (sender, queue) = mpsc::channel(EVENT_QUEUE);
+        let is_whole = Arc::<AtomicBool>::default();
+        let sender = Self {
+            queue: sender,
+            is_whole: Arc::clone(&is_whole),
+        };
+        let stream = EventStream {
+            queue,
+            is_whole,
+            has_ended: false,
+        };
+        (sender, AnswerBody::Events(stream))
+    }
+
+    /// Queues events once there is room, and returns whether the caller is still there.
+    pub(super) async fn send(&self, events: Bytes) -> bool {
+        self.queue.send(events).await.is_ok()
+    }
+
+    /// Whether queued events have not been taken for the caller yet.
+    pub(super) fn has_unread(&self) -> bool {
+        self.queue.capacity() < self.queue.max_capacity()
+    }
+
+    /// Waits until the caller has left.
+    pub(super) async fn closed(&self) {
+        self.queue.closed().await;
+    }
+
+    /// Ends the stream as complete.
+    pub(super) fn finish(self) {
+        self.is_whole.store(true, Ordering::Release);
+    }
+}
+
+impl EventStream {
+    fn poll_event(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamInterrupted>>> {
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
+        if let Some(events) = ready!(self.queue.poll_recv(cx)) {
+            return Poll::Ready(Some(Ok(Frame::data(events))));
+        }
+        self.has_ended = true;
+        let is_whole = self.is_whole.load(Ordering::Acquire);
+        Poll::Ready((!is_whole).then_some(Err(StreamInterrupted)))
+    }
 }
 
 impl Body for AnswerBody {
@@ -39,9 +118,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, StreamInterrupted>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Events(events) => events
-                .poll_recv(cx)
-                .map(|event| event.map(|event| event.map(Frame::data))),
+            Self::Events(stream) => stream.poll_event(cx),
         }
     }
 
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -11,16 +11,16 @@
 use catkinusher_core::id::{ServiceId, UpstreamId};
 use catkinusher_core::outcome::{AttemptHistory, Refusal};
 use catkinusher_core::time::Time;
-use catkinusher_core::units::{self, Span};
-use http::header::{CONTENT_LENGTH, HOST};
+use catkinusher_core::units::Span;
+use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tracing::info;
 
 use super::answer::{self, AnswerBody};
 use super::attempt::ActiveAttempt;
+use super::body::{self, AnswerError};
 use super::dialect::{Ask, Dialect};
 use super::open::{OpenRequest, Stage};
 use super::relay;
@@ -34,10 +34,6 @@
 /// The retry delay given to callers when this node stops; other nodes go on.
 const STOP_RETRY_AFTER: Span = Span::from_millis(100);
 
-/// The maximum size of an answer that is not streamed, in bytes; it is buffered whole, and a
-/// larger one counts as broken.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-
 /// A request in progress.
 #[derive(Debug)]
 pub(super) struct Job<D>
@@ -237,41 +233,11 @@
     };
     state.with_budget(&job.service, |policy, budget| budget.on_new_request(policy));
     let mut job = job;
-    job.body = read_body(&job, body, limit).await.map_err(fail)?;
+    job.body = body::read_body(&job, body, limit).await.map_err(fail)?;
     job.fingerprint_content();
     Ok(job)
 }
 
-async fn read_body<D>(job: &Job<D>, body: Incoming, limit: usize) -> Result<Bytes, Refusal>
-where
-    D: Dialect,
-{
-    let too_large = || Refusal::BodyTooLarge {
-        limit: units::Bytes::new(limit as u64),
-    };
-    let content_length = job
-        .head
-        .headers
-        .get(CONTENT_LENGTH)
-        .and_then(|length| length.to_str().ok())
-        .and_then(|length| length.parse::<usize>().ok());
-    if content_length.is_some_and(|length| length > limit) {
-        return Err(too_large());
-    }
-    let whole = Limited::new(body, limit).collect();
-    tokio::select! {
-        whole = whole => match whole {
-            Ok(whole) => Ok(whole.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
-            Err(error) => Err(Refusal::BadBody { detail: error.to_string() }),
-        },
-        () = job.state.timers.at(job.deadline) => Err(Refusal::TooSlow {
-            limit: Span::new(job.deadline.since(job.received)),
-        }),
-        () = job.state.ending.cancelled() => Err(job.stop_refusal()),
-    }
-}
-
 async fn serve<D>(mut job: Job<D>) -> Response<AnswerBody>
 where
     D: Dialect,
@@ -335,9 +301,9 @@
             resources,
         } = attempt;
         let (head, body) = response.into_parts();
-        let whole = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let buffer = self.state.memory.answer_buffer();
         let whole = tokio::select! {
-            whole = whole => whole,
+            whole = body::receive_answer(body, buffer) => whole,
             () = self.state.timers.at(self.deadline) => return Err(Some(self.deadline_refusal())),
             () = self.state.ending.cancelled() => return Err(Some(self.stop_refusal())),
         };
@@ -358,10 +324,10 @@
                 self.state.return_to_pool(address, sender, keep_alive);
                 let mut headers = head.headers;
                 strip_hop_headers(&mut headers);
-                Ok((upstream, head.status, headers, whole.to_bytes()))
+                Ok((upstream, head.status, headers, whole))
             }
             Err(error) => {
-                if !error.is::<LengthLimitError>() {
+                if !matches!(error, AnswerError::TooLong) {
                     self.on_broken_off(&upstream, true);
                 }
                 let detail = error.to_string();
--- a/crates/catkinusherd/src/gateway/metrics.rs
+++ b/crates/catkinusherd/src/gateway/metrics.rs
@@ -43,6 +43,7 @@
     pub(super) nodes: usize,
     pub(super) open_requests: u64,
     pub(super) quarantined: usize,
+    pub(super) held_bytes: u64,
 }
 
 /// The metrics of one gateway.
@@ -59,6 +60,8 @@
     nodes: Gauge,
     open_requests: Gauge,
     quarantined: Gauge,
+    held_bytes: Gauge,
+    memory_refusals: Counter,
     log_dropped: Gauge,
 }
 
@@ -76,6 +79,8 @@
             nodes: Gauge::default(),
             open_requests: Gauge::default(),
             quarantined: Gauge::default(),
+            held_bytes: Gauge::default(),
+            memory_refusals: Counter::default(),
             log_dropped: Gauge::default(),
         };
         metrics.register();
@@ -114,6 +119,10 @@
         );
         let help = "Contents that crash upstreams and are refused";
         registry.register("quarantined", help, self.quarantined.clone());
+        let help = "Bytes held for callers and upstreams";
+        registry.register("held_bytes", help, self.held_bytes.clone());
+        let help = "Requests refused as there is no memory for their bodies";
+        registry.register("memory_refusals", help, self.memory_refusals.clone());
         let help = "Log lines dropped as nobody took them";
         registry.register("log_dropped", help, self.log_dropped.clone());
     }
@@ -133,6 +142,11 @@
         self.first_event_seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts a request whose body is refused for lack of memory.
+    pub(super) fn on_memory_refusal(&self) {
+        self.memory_refusals.inc();
+    }
+
     /// Counts the result of a call.
     pub(super) fn on_call(&self, to: &'static str, result: &'static str) {
         self.calls.get_or_create(&CallLabels { to, result }).inc();
@@ -150,6 +164,7 @@
         self.nodes.set(whole(values.nodes as u64));
         self.open_requests.set(whole(values.open_requests));
         self.quarantined.set(whole(values.quarantined as u64));
+        self.held_bytes.set(whole(values.held_bytes));
         self.log_dropped.set(whole(log::dropped_lines()));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -6,23 +6,21 @@
 use catkinusher_core::directory::Delivery;
 use catkinusher_core::events::EventSplitter;
 use catkinusher_core::fleet::Fault;
+use catkinusher_core::memory::Purpose;
 use catkinusher_core::time::Time;
 use http::Response;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tracing::info;
 
-use super::answer::{self, AnswerBody, StreamInterrupted};
+use super::answer::{self, AnswerBody, EventSender};
 use super::attempt::ActiveAttempt;
 use super::dialect::Dialect;
 use super::handle::Job;
+use super::memory::Permit;
 use super::open::Stage;
 
-/// The number of events queued for a slow caller before reading from its upstream pauses.
-const EVENT_QUEUE: usize = 16;
-
 /// A stream counts as stalled after this multiple of the longest pause between events that is on time.
 const STALL_FACTOR: u32 = 4;
 
@@ -64,27 +62,25 @@
 where
     D: Dialect,
 {
-    let (events, receiver) = mpsc::channel(EVENT_QUEUE);
+    let (events, body) = EventSender::new();
     let status = attempt.response.status();
     let mut headers = attempt.response.headers().clone();
     answer::strip_for_stream(&mut headers);
     tokio::spawn(run(job, attempt, events));
-    let mut response = Response::new(AnswerBody::Events(receiver));
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
 }
 
-async fn run<D>(
-    mut job: Job<D>,
-    mut attempt: ActiveAttempt<D>,
-    caller: mpsc::Sender<Result<Bytes, StreamInterrupted>>,
-) where
+async fn run<D>(mut job: Job<D>, mut attempt: ActiveAttempt<D>, caller: EventSender)
+where
     D: Dialect,
 {
     let mut events = EventSplitter::resume_after(job.ask.resume);
     let mut arrivals = EventTimes::default();
     let mut ignore_stalls = false;
+    let mut is_whole = false;
     let outcome = loop {
         let upstream = attempt.upstream.clone();
         let address = attempt.address;
@@ -116,13 +112,11 @@
                 job.state.fleet().on_success(&upstream, now);
                 job.state
                     .return_to_pool(address, attempt.sender, keep_alive);
+                is_whole = true;
                 break "whole";
             }
             StreamEnd::ClientLeft => break "caller-left",
-            StreamEnd::DeadlinePassed => {
-                let _left = caller.send(Err(StreamInterrupted)).await;
-                break "deadline";
-            }
+            StreamEnd::DeadlinePassed => break "deadline",
             StreamEnd::Stalled => {
                 job.record_fault(&upstream, address, Fault::Silent, "stream stalled");
                 if job.authorize_retry(&upstream).is_err() {
@@ -158,15 +152,15 @@
                 };
                 match next {
                     Some(next) if next.response.status() == http::StatusCode::OK => attempt = next,
-                    _ => {
-                        let _left = caller.send(Err(StreamInterrupted)).await;
-                        break "broken";
-                    }
+                    _ => break "broken",
                 }
             }
         }
     };
     log_end(&job, outcome, &arrivals, events.last());
+    if is_whole {
+        caller.finish();
+    }
 }
 
 /// Logs and counts a stream that has ended.
@@ -198,7 +192,7 @@
     job: &Job<D>,
     attempt: &mut ActiveAttempt<D>,
     events: &mut EventSplitter,
-    caller: &mpsc::Sender<Result<Bytes, StreamInterrupted>>,
+    caller: &EventSender,
     arrivals: &mut EventTimes,
     stall_timeout: Duration,
 ) -> StreamEnd
@@ -208,6 +202,7 @@
     let timers = job.state.timers.clone();
     let is_framed = is_framed(&attempt.response);
     let begun = events.count();
+    let mut partial = job.state.memory.permit();
     let mut is_cleared = false;
     // A server that stalls may send a byte now and then, so only whole events count.
     let mut last_event = job.state.now();
@@ -220,22 +215,30 @@
                         Ok(whole) => (whole, None),
                         Err(fault) => (fault.events, Some(fault.error)),
                     };
-                    if whole.is_empty() {
-                        match fault {
-                            None => continue,
-                            Some(error) => return StreamEnd::Malformed(error.to_string()),
+                    let has_events = !whole.is_empty();
+                    if has_events {
+                        arrivals.on_event(job.state.now());
+                        // The upstream may crash with the first event on its way.
+                        if !is_cleared && events.count() >= begun + 2 {
+                            is_cleared = true;
+                            job.on_answered();
                         }
+                        attempt.resources.on_read();
                     }
-                    last_event = job.state.now();
-                    arrivals.on_event(last_event);
-                    // The upstream may crash with the first event on its way.
-                    if !is_cleared && events.count() >= begun + 2 {
-                        is_cleared = true;
-                        job.on_answered();
+                    tokio::select! {
+                        // Usually there is room, and no timer is needed.
+                        biased;
+                        is_there = deliver(job, caller, &mut partial, events.buffered(), whole) => {
+                            if !is_there {
+                                return StreamEnd::ClientLeft;
+                            }
+                        }
+                        () = caller.closed() => return StreamEnd::ClientLeft,
+                        () = timers.at(job.deadline) => return StreamEnd::DeadlinePassed,
                     }
-                    attempt.resources.on_read();
-                    if caller.send(Ok(whole.into())).await.is_err() {
-                        return StreamEnd::ClientLeft;
+                    if has_events {
+                        // The upstream is not to blame for the time that the caller took to read.
+                        last_event = job.state.now();
                     }
                     if let Some(error) = fault {
                         return StreamEnd::Malformed(error.to_string());
@@ -264,6 +267,37 @@
     }
 }
 
+/// Queues events for the caller once there is memory for them and for the partial event after them.
+///
+/// Meanwhile nothing is read from the upstream. Returns whether the caller is still there.
+async fn deliver<D>(
+    job: &Job<D>,
+    caller: &EventSender,
+    partial: &mut Permit,
+    buffered: usize,
+    whole: Vec<u8>,
+) -> bool
+where
+    D: Dialect,
+{
+    let purpose = || {
+        if caller.has_unread() {
+            Purpose::UnreadEvents
+        } else {
+            Purpose::Events
+        }
+    };
+    if !whole.is_empty() {
+        let mut permit = job.state.memory.permit();
+        permit.resize(whole.capacity(), purpose).await;
+        if !caller.send(permit.hold(whole)).await {
+            return false;
+        }
+    }
+    partial.resize(buffered, purpose).await;
+    true
+}
+
 /// Whether the end of the response shows that it is complete, rather than the end of its connection.
 fn is_framed(response: &Response<Incoming>) -> bool {
     let headers = response.headers();
--- a/crates/catkinusherd/src/gateway/settings.rs
+++ b/crates/catkinusherd/src/gateway/settings.rs
@@ -7,6 +7,7 @@
 use catkinusher_core::id::{DataCentreId, VmId};
 use catkinusher_core::retry::Policy as Retries;
 use catkinusher_core::roster::Member;
+use catkinusher_core::units::Bytes;
 
 /// The settings of one gateway.
 #[derive(Debug, Clone, PartialEq)]
@@ -25,6 +26,8 @@
     pub peers: SocketAddr,
     /// The processor share of this VM in hundredths of a core; larger VMs carry shared duties first.
     pub capacity: u32,
+    /// The memory limit of this process; without it, held data is not bounded.
+    pub memory: Option<Bytes>,
     /// How long keys may be accepted without a confirmation that the configuration is current.
     pub trust: Duration,
     /// The largest age of the confirmation of the configuration in normal operation.
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -22,6 +22,7 @@
 use super::bad_entries::BadEntries;
 use super::clock;
 use super::feeds::Feeds;
+use super::memory::Memory;
 use super::metrics::{GaugeValues, Metrics};
 use super::open::OpenRequests;
 use super::placing::Asks;
@@ -141,6 +142,7 @@
     fleet: Mutex<Fleet>,
     budgets: Mutex<BTreeMap<ServiceId, Budget>>,
     detector: Mutex<Detector>,
+    pub(super) memory: Memory,
     pub(super) metrics: Metrics,
     ready: AtomicBool,
     pub(super) open_requests: OpenRequests,
@@ -164,6 +166,7 @@
             roster: Mutex::new(roster),
             registration: Mutex::default(),
             placer: Mutex::new(Placer::new(incarnation)),
+            memory: Memory::new(settings.memory),
             settings,
             dialect,
             timers: Timers::start(Clock::start()),
@@ -337,6 +340,7 @@
             nodes: self.roster().len(),
             open_requests: self.open_requests.count() as u64,
             quarantined: self.detector().quarantined(),
+            held_bytes: self.memory.held(),
         };
         drop(fleet);
         self.metrics.encode_text(&values)
