Pause between the calls of a node that starts in an outage of the store

Cause: a node without a list of nodes checked every 50 ms whether it reads for others, and that check also ended the pause after a failed call, so all four lists were repeated every 50 ms. The check of a waiting follower is once a second again; only the wait for the role, which makes no calls, is 50 ms.

Evidence: a_node_that_starts_in_an_outage_of_the_store_pauses_between_its_calls counted 39 lists of each kind in 2 s and now at most 8.

--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -247,7 +247,7 @@
         return Followed::Behind;
     };
     tokio::select! {
-        () = state.timers.after(role_period(state)) => {}
+        () = state.timers.after(ROLE_PERIOD) => {}
         () = state.feeds.arrived(feed) => {
             for batch in state.feeds.take(feed) {
                 if !state.feeds.continues(feed, &batch) {
