Keep very long prompts out of the pool for short ones

A prompt of any length whose caller tolerates only short pauses was answered in the pool for short prompts, where nothing looked at the KV cache: on engines with 232,000 tokens one of 200,000 would have preempted the answers beside it. Prompts of more than four parts are long ones again, and an engine without memory counts as full.

--- a/crates/catkinusher-core/src/fleet/place/work.rs
+++ b/crates/catkinusher-core/src/fleet/place/work.rs
@@ -15,7 +15,9 @@
 use super::{Basis, Candidate, Demand, Overload, Placement, Policy, RETRY_AFTER_SHORT, over_limit};
 use crate::engine::EngineProfile;
 use crate::fleet::{Cost, WorkKind};
+use crate::id::UpstreamId;
 use crate::time::Time;
+use crate::units::Tokens;
 
 /// The penalty of an answer that a prompt would stall for too long, in milliseconds of delay.
 const STALL_WEIGHT_MS: f64 = 100.0;
@@ -23,7 +25,7 @@
 /// The fraction of the longest tolerated pause up to which a stall is harmless; reports are a few milliseconds old.
 const SAFE_STALL: f64 = 0.8;
 
-/// The penalty of an engine without a free slot; it exceeds all others.
+/// The penalty of an engine without a free slot or memory; it exceeds all others.
 const FULL_PENALTY_MS: f64 = 10_000.0;
 
 /// The penalty of an engine that fails all requests, in milliseconds: the time of another attempt.
@@ -41,6 +43,9 @@
 /// The interval at which it tries again, less than half a pass.
 const RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The most parts of a prompt that is answered in the pool for short ones; a longer one takes too much KV cache there.
+const MAX_SHORT_PARTS: u32 = 4;
+
 /// The inputs of the placement of one prompt.
 pub(super) struct WorkPlacement<'a> {
     pub(super) profile: &'a EngineProfile,
@@ -78,7 +83,7 @@
         let is_short = prefill_time < policy.long_threshold;
         let mut placed = if is_short {
             self.place_short(engines, shorts, prefill_time, Vec::new(), rng)
-        } else if self.needs_short_pauses() && self.profile.joint_prefill {
+        } else if self.needs_short_pauses(prefill_time) {
             let part_time = policy.long_threshold;
             let parts = prefill_time.as_secs_f64() / part_time.as_secs_f64();
             let helpers = long.helpers(parts.ceil() as usize - 1);
@@ -99,10 +104,12 @@
         Ok(placed)
     }
 
-    /// Whether the answer must not run beside the prefill of long prompts.
-    fn needs_short_pauses(&self) -> bool {
+    /// Whether the answer must not run beside the prefill of long prompts, and can run beside short answers.
+    fn needs_short_pauses(&self, prefill_time: Duration) -> bool {
         let stall = self.policy.part_target + self.profile.pass_time(1, self.demand.prompt);
-        self.demand.pause.is_some_and(|pause| pause < stall)
+        self.profile.joint_prefill
+            && prefill_time <= self.policy.long_threshold * MAX_SHORT_PARTS
+            && self.demand.pause.is_some_and(|pause| pause < stall)
     }
 
     /// Places a prompt whose part at the engine that answers takes `prefill_time`.
@@ -111,7 +118,7 @@
         engines: &[Candidate<'_>],
         shorts: usize,
         prefill_time: Duration,
-        helpers: Vec<(crate::id::UpstreamId, Cost)>,
+        helpers: Vec<(UpstreamId, Cost)>,
         rng: &mut R,
     ) -> Result<Placement, Overload>
     where
@@ -165,7 +172,7 @@
     ) -> Terms<7> {
         let load = &candidate.load;
         let answers = load.active_requests();
-        let held = crate::units::Tokens::new(load.held_tokens);
+        let held = Tokens::new(load.held_tokens);
         let pass_ms = millis(self.profile.pass_time(answers, held));
         let own_pass_ms = millis(
             self.profile
@@ -176,7 +183,8 @@
         let prefill_ms = load.pending_prefill_ms as f64 + millis(prefill_time);
         let stall_ms = pass_ms + prefill_ms;
         let stalled = f64::from(load.short_requests) * self.excess(stall_ms);
-        let is_full = answers >= self.profile.slots;
+        let needed = held + self.demand.prompt + self.demand.answer;
+        let is_full = answers >= self.profile.slots || needed > self.profile.kv_capacity;
         // An engine with a short answer is lost as a helper for long prompts, which costs them about a part.
         let outside_ms = millis(self.policy.part_target);
         let penalty = |applies, penalty_ms| if applies { penalty_ms } else { 0.0 };
--- a/crates/catkinusher-core/tests/cell_placement.rs
+++ b/crates/catkinusher-core/tests/cell_placement.rs
@@ -184,6 +184,12 @@
     assert!(!placement.helpers.is_empty());
     let patient = place(&mut fleet, &demand(60_000, 1500, 500), ms(2)).unwrap();
     assert_eq!(patient.cost.kind, WorkKind::Long);
+    let longest = place(&mut fleet, &demand(200_000, 3000, 200), ms(3)).unwrap();
+    assert_eq!(
+        longest.cost.kind,
+        WorkKind::Long,
+        "it would fill the KV cache"
+    );
 }
 
 // Load: all callers repeat their requests at once after a loss of many nodes.
