Do not take upstreams for full whose load is not known

Cause: a node that places alone without reports gave upstreams that had named no load the mean of those that had. Busy ones answer most, so the mean was above the slots, all engines seemed full, and the request was refused.

An upstream that has named no load now keeps a free slot in that estimate; if it is full, it says so, and the next one is tried.

Evidence: upstreams_that_named_no_load_are_not_taken_for_full failed before (`Full(800ms)` with nine of twelve upstreams idle) and passes.

--- a/crates/catkinusher-core/src/fleet/said.rs
+++ b/crates/catkinusher-core/src/fleet/said.rs
@@ -123,7 +123,9 @@
                     slots
                 };
             } else if no_reports {
-                others = Some((mean * f64::from(slots)).round().min(f64::from(MAX_NAMED)) as u32);
+                // The busiest upstreams answer most, so their mean must not make the others seem full.
+                let open_slots = slots.saturating_sub(entry.own_load.active_requests() + 1);
+                others = Some(((mean * f64::from(slots)).round() as u32).min(open_slots));
             }
             if let Some(others) = others {
                 let all = entry.own_load.active_requests().saturating_add(others);
--- a/crates/catkinusher-core/tests/spread_load.rs
+++ b/crates/catkinusher-core/tests/spread_load.rs
@@ -445,3 +445,27 @@
         assert!(ratio <= MAX_RATIO, "{results:?}");
     }
 }
+
+// Guards against requests that are refused though most upstreams are idle: the few that this node had
+// answers from were full, and the others were taken for as busy.
+#[test]
+fn upstreams_that_named_no_load_are_not_taken_for_full() {
+    for service in [site::model(), plain()] {
+        let mut site = Site::new(service.clone(), &[16; 12], 60, true);
+        let full = NamedLoad {
+            running: 16,
+            waiting: 20,
+            slots: 16,
+        };
+        let node = &mut site.nodes[7];
+        for number in 0..3 {
+            node.on_named_load(&site::upstream(number).id, full, INFORMED);
+        }
+        let now = INFORMED + Duration::from_millis(100);
+        let policy = Policy::default();
+        let placed = node.place(&service, &short(), &policy, now, &mut site.rng);
+        let placed = placed.expect("nine upstreams may have room");
+        let is_full = |number| site::upstream(number).id == placed.primary;
+        assert!(!(0..3).any(is_full), "{placed:?}");
+    }
+}
