Let few nodes that place alone choose as before

Cause: a node that places alone spread prompts over all engines, without pools for short and long ones. That is worth it where many nodes choose at the same moment; a few overrun no engine.

Nodes spread their requests from 32 nodes on.

--- a/crates/catkinusher-core/src/fleet/said.rs
+++ b/crates/catkinusher-core/src/fleet/said.rs
@@ -16,6 +16,12 @@
 /// The most requests that are counted of a named load, so that sums over all upstreams do not overflow.
 const MAX_NAMED: u32 = 100_000;
 
+/// The least number of nodes from which those that place alone spread their requests.
+///
+/// Fewer nodes overrun no upstream at the same moment, and callers are served better by the pools of a
+/// node that places alone.
+const MIN_NODES: usize = 32;
+
 /// The load of an upstream as its answer names it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct NamedLoad {
@@ -71,7 +77,7 @@
 
     /// How this node takes its part of the load, if it and others place for themselves.
     pub(super) fn spread(&self, service: &ServiceId, demand: &Demand, now: Time) -> Option<Spread> {
-        if demand.authority == Authority::Shared || self.position.count < 2 {
+        if demand.authority == Authority::Shared || self.position.count < MIN_NODES {
             return None;
         }
         let report_age = self.report_age(now);
