--- /dev/null
+++ b/review/stand-ins-2/node.rs
@@ -0,0 +1,175 @@
+//! Node processes, started as the deploy file says.
+
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::Conn;
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+pub const SIGTERM: i32 = 15;
+
+/// The program and its arguments in `deploy/system.toml`.
+const PROGRAM: &str = "target/release/catkinusher-node";
+
+pub struct Node {
+    child: Child,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub log: PathBuf,
+}
+
+fn free_port() -> u16 {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
+        let address = listener.local_addr().expect("a bound port has an address");
+        if UdpSocket::bind(address).is_ok() {
+            return address.port();
+        }
+    }
+}
+
+impl Node {
+    /// Starts a node with the settings of the site `ltshn-rota`, on free ports.
+    pub fn start(name: &str, store: SocketAddr, folder: &Path) -> Self {
+        let (front, ready, control, peers) = (free_port(), free_port(), free_port(), free_port());
+        let settings = format!(
+            r#"node = "{name}"
+role = "node"
+machine-class = "front"
+serves = ["front"]
+ip = "127.0.0.1"
+zone = "hcm-a"
+region = "hcm"
+internal-port-range = [{peers},{peers}]
+seeds = []
+bootstrap = true
+loss-counts = false
+discovery = "platform"
+entry = "vip"
+beat-ms = 1200
+contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","places","platform","spans"]
+[zones]
+hcm-a = "hcm"
+hcm-b = "hcm"
+hcm-c = "hcm"
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+[limits]
+cpu-share = 0.17
+cores = 1
+memory-mb = 182
+max-fds = 2870
+link-mbps = 700.0
+disk-mb = 0
+[tolerate]
+machines = 1
+zones = 1
+regions = 0
+[bounds]
+seed-lag-s = 3
+reuse-after-s = 2
+stable-window-ms = 3000
+ack-ms = 4000
+catch-up-s = 4
+drain-ms = 2000
+grace-s = 8
+loss-slack-ms = 200
+config-ms = 2000
+rollback-slack-ms = 250
+outer-ms = 5000
+revoke-strict = true
+revoke-ms = 5000
+budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 234
+cold-over = 1.5
+cold-slack = 5
+evac-ms = 5000
+recover-s = 12
+pass-ms = 120
+again-s = 0
+stall_ms = 1500
+hold-max-ms = 20000
+free-ms = 4000
+idle-max-ms = 9000
+[platform]
+address = "{store}"
+form = "objects"
+writes-per-s = 400
+reads-per-s = 2000
+history-s = 20
+value-bytes = 1048576
+ttl-min-ms = 1000
+"#
+        );
+        let path = folder.join(format!("{name}.toml"));
+        std::fs::write(&path, settings).expect("cannot write the settings");
+        let log = folder.join(format!("{name}.log"));
+        let output = File::create(&log).expect("cannot create the log");
+        let errors = output.try_clone().expect("cannot share the log");
+        let child = Command::new(PROGRAM)
+            .arg("serve")
+            .env("CATKINUSHER_SETTINGS", &path)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .spawn()
+            .expect("cannot start the node; run the build of deploy/system.toml first");
+        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        Self {
+            child,
+            front: local(front),
+            ready: local(ready),
+            log,
+        }
+    }
+
+    /// Waits until the node says that it is ready.
+    pub fn wait_until_ready(&self) -> bool {
+        let until = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < until {
+            let answer = Conn::connect(self.ready).ok().and_then(|mut conn| {
+                conn.exchange(b"GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            });
+            if answer.is_some_and(|answer| answer.status() == 200) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    pub fn signal(&self, signal: i32) {
+        // SAFETY: the process was started here and has not been waited for.
+        unsafe { kill(self.child.id() as i32, signal) };
+    }
+
+    pub fn has_ended(&mut self) -> Option<String> {
+        self.child.try_wait().ok().flatten().map(|status| status.to_string())
+    }
+
+    /// The peak of the resident memory in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let digits = line.and_then(|line| line.trim().split(' ').next());
+        digits.and_then(|digits| digits.parse::<u64>().ok()).unwrap_or(0) * 1024
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
