--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -2,8 +2,22 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant};
 
+unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const [i32; 2], length: u32) -> i32;
+}
+
+/// Resets a connection, as the system of a process that crashes does.
+pub fn reset(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    // SAFETY: the descriptor is open, and the value is a `struct linger`: on, and 0 seconds.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &[1, 0], 8) };
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
 /// A message as it was received.
 #[derive(Debug, Clone, Default)]
 pub struct Message {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod manifest;
 mod node;
+mod poison;
 mod record;
 mod server;
 mod store;
@@ -30,6 +31,8 @@
     let record = record::Record::create(&folder.join("record.txt"));
     let code = match case.as_str() {
         "early" => early::run(trouble, &record, &temporary),
+        "poison" => poison::run(trouble, false, &record, &temporary),
+        "poison-framed" => poison::run(trouble, true, &record, &temporary),
         _ => 2,
     };
     record.line(&format!("exit {code}"));
