--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -10,6 +10,7 @@
 mod node;
 mod poison;
 mod record;
+mod roll;
 mod server;
 mod store;
 
@@ -33,6 +34,8 @@
         "early" => early::run(trouble, &record, &temporary),
         "poison" => poison::run(trouble, false, &record, &temporary),
         "poison-framed" => poison::run(trouble, true, &record, &temporary),
+        "roll" => roll::run(trouble, roll::Mode::LateWrites, &record, &temporary),
+        "roll-old-reads" => roll::run(trouble, roll::Mode::OldReads, &record, &temporary),
         _ => 2,
     };
     record.line(&format!("exit {code}"));
--- a/review/stand-ins-2/node.rs
+++ b/review/stand-ins-2/node.rs
@@ -1,6 +1,6 @@
 //! Node processes, started as the deploy file says.
 
-use std::fs::File;
+use std::fs::OpenOptions;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -20,8 +20,12 @@
 
 pub struct Node {
     child: Child,
+    settings: PathBuf,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    /// The address for messages of other nodes.
+    pub peers: SocketAddr,
+    pub name: String,
     pub log: PathBuf,
 }
 
@@ -35,6 +39,20 @@
     }
 }
 
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let mut options = OpenOptions::new();
+    let output = options.create(true).append(true).open(log).expect("cannot open the log");
+    let errors = output.try_clone().expect("cannot share the log");
+    Command::new(PROGRAM)
+        .arg("serve")
+        .env("CATKINUSHER_SETTINGS", settings)
+        .stdin(Stdio::null())
+        .stdout(output)
+        .stderr(errors)
+        .spawn()
+        .expect("cannot start the node; run the build of deploy/system.toml first")
+}
+
 impl Node {
     /// Starts a node with the settings of the site `ltshn-rota`, on free ports.
     pub fn start(name: &str, store: SocketAddr, folder: &Path) -> Self {
@@ -114,21 +132,15 @@
         let path = folder.join(format!("{name}.toml"));
         std::fs::write(&path, settings).expect("cannot write the settings");
         let log = folder.join(format!("{name}.log"));
-        let output = File::create(&log).expect("cannot create the log");
-        let errors = output.try_clone().expect("cannot share the log");
-        let child = Command::new(PROGRAM)
-            .arg("serve")
-            .env("CATKINUSHER_SETTINGS", &path)
-            .stdin(Stdio::null())
-            .stdout(output)
-            .stderr(errors)
-            .spawn()
-            .expect("cannot start the node; run the build of deploy/system.toml first");
+        let child = spawn(&path, &log);
         let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
         Self {
             child,
+            settings: path,
             front: local(front),
             ready: local(ready),
+            peers: local(peers),
+            name: name.to_owned(),
             log,
         }
     }
@@ -153,6 +165,13 @@
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
+    /// Stops the process as planned, and starts it again with the same settings.
+    pub fn restart(&mut self) {
+        self.signal(SIGTERM);
+        let _ = self.child.wait();
+        self.child = spawn(&self.settings, &self.log);
+    }
+
     pub fn has_ended(&mut self) -> Option<String> {
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
     }
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -10,17 +10,48 @@
 
 use crate::http::{Conn, Message};
 
+/// How much later than usual a write is done whose answer is lost.
+const LATE_BY: Duration = Duration::from_secs(3);
+
 #[derive(Default)]
 struct State {
     objects: BTreeMap<(String, String), (u64, String)>,
     /// Revision, kind, name, and the spec unless the object was removed.
     changes: Vec<(u64, String, String, Option<String>)>,
+    /// When each of these changes was made.
+    changed_at: Vec<Instant>,
     revision: u64,
 }
 
+impl State {
+    /// The revision that reads with `serializable` see, and the objects at that time.
+    fn at(&self, time: Instant) -> Self {
+        let mut past = Self::default();
+        for (change, at) in self.changes.iter().zip(&self.changed_at) {
+            if *at > time {
+                break;
+            }
+            let (rev, kind, name, spec) = change;
+            past.revision = *rev;
+            let key = (kind.clone(), name.clone());
+            match spec {
+                Some(spec) => past.objects.insert(key, (*rev, spec.clone())),
+                None => past.objects.remove(&key),
+            };
+        }
+        past
+    }
+}
+
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
+    /// How old the data of reads with `serializable` is.
+    pub lag: Mutex<Duration>,
+    /// Names whose next removal is done late and not answered.
+    pub late: Mutex<Vec<String>>,
+    /// The writes so far, and whether each was done late.
+    pub writes: Mutex<Vec<(String, bool)>>,
     pub address: SocketAddr,
 }
 
@@ -33,18 +64,28 @@
                 ..State::default()
             }),
             changed: Condvar::new(),
+            lag: Mutex::default(),
+            late: Mutex::default(),
+            writes: Mutex::default(),
             address: listener.local_addr().expect("the store has an address"),
         });
         let serving = Arc::clone(&store);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = Arc::clone(&serving);
-                thread::spawn(move || store.serve(Conn::new(stream)));
+                thread::spawn(move || Self::serve(&store, Conn::new(stream)));
             }
         });
         store
     }
 
+    /// The names of all objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        let names = state.objects.keys().filter(|(one, _)| one == kind);
+        names.map(|(_, name)| name.clone()).collect()
+    }
+
     pub fn put(&self, kind: &str, name: &str, spec: &str) -> u64 {
         self.change(kind, name, Some(spec.to_owned()))
     }
@@ -59,14 +100,27 @@
         };
         let change = (rev, kind.to_owned(), name.to_owned(), spec);
         state.changes.push(change);
+        state.changed_at.push(Instant::now());
         drop(state);
         self.changed.notify_all();
         rev
     }
 
-    fn serve(&self, mut conn: Conn) {
+    fn serve(self: &Arc<Self>, mut conn: Conn) {
         while let Ok(Some(mut request)) = conn.read_head() {
             conn.read_body(&mut request, false);
+            if request.method() != "GET" {
+                let is_late = self.is_late(&request);
+                let write = format!("{} {}", request.method(), request.target());
+                self.writes.lock().unwrap().push((write, is_late));
+                if is_late {
+                    thread::sleep(LATE_BY);
+                    self.respond(&request);
+                    // Nothing more comes on a channel on which an answer was lost.
+                    thread::sleep(Duration::from_secs(120));
+                    return;
+                }
+            }
             let (status, body) = self.respond(&request);
             let answer = format!(
                 "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
@@ -78,6 +132,14 @@
         }
     }
 
+    fn is_late(&self, request: &Message) -> bool {
+        let mut late = self.late.lock().unwrap();
+        let found = late
+            .iter()
+            .position(|name| request.method() == "DELETE" && request.target().ends_with(name));
+        found.map(|index| late.remove(index)).is_some()
+    }
+
     fn respond(&self, request: &Message) -> (u16, String) {
         let target = request.target().to_owned();
         let (path, query) = target.split_once('?').unwrap_or((&target, ""));
@@ -91,11 +153,16 @@
         });
         match request.method() {
             "GET" if query.contains("watch=") => self.watch(kind, query),
-            "GET" if name.is_empty() => self.list(kind),
-            "GET" => match self.state.lock().unwrap().objects.get(&key(kind, name)) {
-                Some((rev, spec)) => (200, object(name, *rev, Some(spec))),
-                None => (404, "{}".to_owned()),
-            },
+            "GET" => {
+                let lag = *self.lag.lock().unwrap();
+                let is_stale = query.contains("serializable=1") && !lag.is_zero();
+                let state = self.state.lock().unwrap();
+                if is_stale {
+                    read(&state.at(Instant::now() - lag), kind, name)
+                } else {
+                    read(&state, kind, name)
+                }
+            }
             "POST" | "PUT" => {
                 let named = text_after(&body, "\"name\":\"").unwrap_or_else(|| name.to_owned());
                 let standing = self.standing(kind, &named);
@@ -127,22 +194,6 @@
         self.state.lock().unwrap().objects.get(&key(kind, name)).cloned()
     }
 
-    fn list(&self, kind: &str) -> (u16, String) {
-        let state = self.state.lock().unwrap();
-        let items: Vec<String> = state
-            .objects
-            .iter()
-            .filter(|((one, _), _)| one == kind)
-            .map(|((_, name), (rev, spec))| object(name, *rev, Some(spec)))
-            .collect();
-        let body = format!(
-            "{{\"items\":[{}],\"has-more\":false,\"store-revision\":{}}}",
-            items.join(","),
-            state.revision
-        );
-        (200, body)
-    }
-
     fn watch(&self, kind: &str, query: &str) -> (u16, String) {
         let after = number_after(query, "watch=").unwrap_or(0);
         let wait = number_after(query, "wait-ms=").unwrap_or(0).min(30_000);
@@ -175,6 +226,28 @@
     }
 }
 
+/// One object, or all of a kind.
+fn read(state: &State, kind: &str, name: &str) -> (u16, String) {
+    if !name.is_empty() {
+        return match state.objects.get(&key(kind, name)) {
+            Some((rev, spec)) => (200, object(name, *rev, Some(spec))),
+            None => (404, "{}".to_owned()),
+        };
+    }
+    let items: Vec<String> = state
+        .objects
+        .iter()
+        .filter(|((one, _), _)| one == kind)
+        .map(|((_, name), (rev, spec))| object(name, *rev, Some(spec)))
+        .collect();
+    let body = format!(
+        "{{\"items\":[{}],\"has-more\":false,\"store-revision\":{}}}",
+        items.join(","),
+        state.revision
+    );
+    (200, body)
+}
+
 fn key(kind: &str, name: &str) -> (String, String) {
     (kind.to_owned(), name.to_owned())
 }
