--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -6,16 +6,16 @@
 use std::time::{Duration, Instant};
 
 unsafe extern "C" {
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const [i32; 2], length: u32) -> i32;
+    fn connect(socket: i32, address: *const [u8; 16], length: u32) -> i32;
 }
 
-/// Resets a connection, as the system of a process that crashes does.
+/// Resets a connection, as the system does for a process that has crashed.
+///
+/// On Linux, connecting to an address of no family sends a reset at once, also if there are other
+/// handles of the socket.
 pub fn reset(stream: &TcpStream) {
-    const SOL_SOCKET: i32 = 1;
-    const SO_LINGER: i32 = 13;
-    // SAFETY: the descriptor is open, and the value is a `struct linger`: on, and 0 seconds.
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &[1, 0], 8) };
-    let _ = stream.shutdown(std::net::Shutdown::Both);
+    // SAFETY: the descriptor is open, and the address has the length that is passed.
+    unsafe { connect(stream.as_raw_fd(), &[0; 16], 16) };
 }
 
 /// A message as it was received.
