--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -32,8 +32,9 @@
     let record = record::Record::create(&folder.join("record.txt"));
     let code = match case.as_str() {
         "early" => early::run(trouble, &record, &temporary),
-        "poison" => poison::run(trouble, false, &record, &temporary),
-        "poison-framed" => poison::run(trouble, true, &record, &temporary),
+        "poison" => poison::run(trouble, poison::Mode::Unframed, &record, &temporary),
+        "poison-framed" => poison::run(trouble, poison::Mode::Framed, &record, &temporary),
+        "poison-bursts" => poison::run(trouble, poison::Mode::Bursts, &record, &temporary),
         "roll" => roll::run(trouble, roll::Mode::LateWrites, &record, &temporary),
         "roll-old-reads" => roll::run(trouble, roll::Mode::OldReads, &record, &temporary),
         _ => 2,
