--- a/review/stand-ins-2/early.rs
+++ b/review/stand-ins-2/early.rs
@@ -24,7 +24,9 @@
     let name = request.header("request-id").unwrap_or("-").to_owned();
     let length = request.number("content-length").unwrap_or(0);
     let last = request.number("last-event-id").unwrap_or(0);
-    record.line(&format!("{id}: {name} begins to run, body of {length}, after event {last}"));
+    record.line(&format!(
+        "{id}: {name} begins to run, body of {length}, after event {last}"
+    ));
     if !early {
         conn.read_body(&mut request, false);
     }
@@ -118,6 +120,8 @@
         let _ = caller.join();
     }
     let cut = cut.load(Ordering::Relaxed);
-    record.line(&format!("{cut} of {REQUESTS} channels ended without a complete answer"));
+    record.line(&format!(
+        "{cut} of {REQUESTS} channels ended without a complete answer"
+    ));
     u8::from(cut > 0)
 }
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsRawFd;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 unsafe extern "C" {
     fn connect(socket: i32, address: *const [u8; 16], length: u32) -> i32;
@@ -27,8 +27,6 @@
     pub body: Vec<u8>,
     /// Whether the end of the body was received.
     pub complete: bool,
-    /// When the end of the head was received.
-    pub head_at: Option<Instant>,
     /// Why the message is not complete.
     pub fault: String,
 }
@@ -105,7 +103,6 @@
         let mut lines = text.split("\r\n");
         let mut message = Message {
             start: lines.next().unwrap_or("").to_owned(),
-            head_at: Some(Instant::now()),
             ..Message::default()
         };
         for line in lines.filter(|line| !line.is_empty()) {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -6,6 +6,7 @@
 
 mod early;
 mod http;
+mod limits;
 mod manifest;
 mod node;
 mod poison;
@@ -37,6 +38,7 @@
         "poison-bursts" => poison::run(trouble, poison::Mode::Bursts, &record, &temporary),
         "roll" => roll::run(trouble, roll::Mode::LateWrites, &record, &temporary),
         "roll-old-reads" => roll::run(trouble, roll::Mode::OldReads, &record, &temporary),
+        "limits" => limits::run(trouble, &record, &temporary),
         _ => 2,
     };
     record.line(&format!("exit {code}"));
--- a/review/stand-ins-2/node.rs
+++ b/review/stand-ins-2/node.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -29,19 +30,32 @@
     pub log: PathBuf,
 }
 
+/// The ports that nodes get, below those that the system gives to outgoing connections.
+const FIRST_PORT: u32 = 12_000;
+const PORTS: u32 = 20_000;
+
+/// A port that is free now and is given only once.
 fn free_port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Scripts that run at the same time begin at different ports.
+    let offset = std::process::id().wrapping_mul(97);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
-        let address = listener.local_addr().expect("a bound port has an address");
-        if UdpSocket::bind(address).is_ok() {
-            return address.port();
+        let next = offset.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = (FIRST_PORT + next % PORTS) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return port;
         }
     }
 }
 
 fn spawn(settings: &Path, log: &Path) -> Child {
     let mut options = OpenOptions::new();
-    let output = options.create(true).append(true).open(log).expect("cannot open the log");
+    let output = options
+        .create(true)
+        .append(true)
+        .open(log)
+        .expect("cannot open the log");
     let errors = output.try_clone().expect("cannot share the log");
     Command::new(PROGRAM)
         .arg("serve")
@@ -171,19 +185,6 @@
         let _ = self.child.wait();
         self.child = spawn(&self.settings, &self.log);
     }
-
-    pub fn has_ended(&mut self) -> Option<String> {
-        self.child.try_wait().ok().flatten().map(|status| status.to_string())
-    }
-
-    /// The peak of the resident memory in bytes.
-    pub fn peak_memory(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let text = std::fs::read_to_string(path).unwrap_or_default();
-        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let digits = line.and_then(|line| line.trim().split(' ').next());
-        digits.and_then(|digits| digits.parse::<u64>().ok()).unwrap_or(0) * 1024
-    }
 }
 
 impl Drop for Node {
--- a/review/stand-ins-2/poison.rs
+++ b/review/stand-ins-2/poison.rs
@@ -95,9 +95,17 @@
     record.line("sound requests begin");
     while began.elapsed() < CALM + TROUBLED {
         let is_poison = trouble && began.elapsed() >= next_poison;
-        let count = if is_poison && mode == Mode::Bursts { BURST } else { 1 };
+        let count = if is_poison && mode == Mode::Bursts {
+            BURST
+        } else {
+            1
+        };
         if is_poison {
-            next_poison += if mode == Mode::Bursts { BURST_PAUSE } else { POISON_PAUSE };
+            next_poison += if mode == Mode::Bursts {
+                BURST_PAUSE
+            } else {
+                POISON_PAUSE
+            };
         }
         for _ in 0..count {
             number += 1;
@@ -115,7 +123,10 @@
                 "POST /{route}/2f HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {id}\r\nModel: m\r\nToken-Counts: 400,40\r\nPrompt-Prefix: {parts},f{number:06x}:60\r\nDeadline-Ms: 10000\r\nAuthorization: Token {KEY}\r\nContent-Length: 4\r\n\r\nbody"
             );
             if !is_poison {
-                seen.sound.lock().unwrap().push((id.clone(), Instant::now()));
+                seen.sound
+                    .lock()
+                    .unwrap()
+                    .push((id.clone(), Instant::now()));
             }
             let (front, record) = (fronts[number % NODES], record.clone());
             let seen = Arc::clone(&seen);
@@ -174,7 +185,9 @@
     let sound = seen.sound.lock().unwrap().len();
     let lost = seen.lost.lock().unwrap();
     let lost_late = fifth.map_or(0, |fifth| {
-        lost.iter().filter(|at| **at > fifth + STABLE_WINDOW).count()
+        lost.iter()
+            .filter(|at| **at > fifth + STABLE_WINDOW)
+            .count()
     });
     record.line(&format!(
         "{} crashes; {late} arrivals of deadly requests later than a stable window after the fifth, 3 are allowed; {} of {sound} sound requests had no whole answer, {lost_late} of them after that time",
@@ -214,17 +227,12 @@
     u8::from(rate(late) < rate(calm) / 2.0)
 }
 
-fn start_server(
-    number: usize,
-    mode: Mode,
-    store: &Arc<Store>,
-    seen: &Arc<Seen>,
-    record: &Record,
-) {
+fn start_server(number: usize, mode: Mode, store: &Arc<Store>, seen: &Arc<Seen>, record: &Record) {
     let framed = mode != Mode::Unframed;
     let id = format!("i-lm{number}");
     let life = Arc::new(Life::default());
-    life.born.store(1_700_000_000_000 + number as u64, Ordering::SeqCst);
+    life.born
+        .store(1_700_000_000_000 + number as u64, Ordering::SeqCst);
     let zone = ["hcm-a", "hcm-b", "hcm-c"][number % 3];
     let (own, log) = (id.clone(), record.clone());
     let (lives, all, registry) = (Arc::clone(&life), Arc::clone(seen), Arc::clone(store));
@@ -244,7 +252,10 @@
             .header("prompt-prefix")
             .is_some_and(|parts| parts.contains(DEADLY));
         if is_deadly {
-            all.deadly.lock().unwrap().push((name.clone(), Instant::now()));
+            all.deadly
+                .lock()
+                .unwrap()
+                .push((name.clone(), Instant::now()));
         }
         thread::sleep(READ_TIME);
         if lives.is_down.load(Ordering::SeqCst) {
@@ -262,7 +273,8 @@
             String::new()
         };
         let answer = head("200 OK", &request);
-        let answer = format!("{answer}Content-Type: text/event-stream\r\nConnection: close\r\n{length}\r\n");
+        let answer =
+            format!("{answer}Content-Type: text/event-stream\r\nConnection: close\r\n{length}\r\n");
         if is_deadly {
             // Another deadly request may have crashed it just now.
             if lives.is_down.swap(true, Ordering::SeqCst) {
@@ -289,7 +301,9 @@
         let _ = conn.stream.shutdown(std::net::Shutdown::Write);
         false
     });
-    let text = server.entry("lm", zone, 16).replace("1700000000000", "BORN");
+    let text = server
+        .entry("lm", zone, 16)
+        .replace("1700000000000", "BORN");
     *entry.lock().unwrap() = text.clone();
     let born = life.born.load(Ordering::SeqCst).to_string();
     store.put("servers", &id, &text.replace("BORN", &born));
@@ -297,7 +311,13 @@
 
 /// Answers with five events, one each 100 ms, unless the server crashes meanwhile.
 fn send_slowly(conn: &mut Conn, request: &crate::http::Message, life: &Life) -> bool {
-    let events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n", "id: 5\ndata: e\n\n"];
+    let events = [
+        "id: 1\ndata: a\n\n",
+        "id: 2\ndata: b\n\n",
+        "id: 3\ndata: c\n\n",
+        "id: 4\ndata: d\n\n",
+        "id: 5\ndata: e\n\n",
+    ];
     let length: usize = events.iter().map(|event| event.len()).sum();
     let answer = head("200 OK", request);
     let answer = format!(
--- a/review/stand-ins-2/roll.rs
+++ b/review/stand-ins-2/roll.rs
@@ -69,7 +69,9 @@
     if !text.contains("\"outcome\":\"elsewhere\"") {
         return (answer.status() == 200).then_some(asked);
     }
-    nodes.iter().position(|node| text.contains(&format!("\"{}\"", node.peers)))
+    nodes
+        .iter()
+        .position(|node| text.contains(&format!("\"{}\"", node.peers)))
 }
 
 pub fn run(trouble: bool, mode: Mode, record: &Record, folder: &Path) -> u8 {
@@ -84,17 +86,23 @@
         let (arrivals, names_limit) = (Arc::clone(arrivals), Arc::clone(&names_limit));
         let server = Server::start(&format!("i-app{number}"), move |conn, mut request| {
             conn.read_body(&mut request, false);
-            let node = request.header("request-id").and_then(|id| id[1..3].parse().ok());
+            let node = request
+                .header("request-id")
+                .and_then(|id| id[1..3].parse().ok());
             let limited = names_limit.load(Ordering::SeqCst);
             if limited {
-                arrivals.lock().unwrap().push((Instant::now(), node.unwrap_or(0)));
+                arrivals
+                    .lock()
+                    .unwrap()
+                    .push((Instant::now(), node.unwrap_or(0)));
             }
             let lines = if limited {
                 format!("Server-Limit: {LIMIT}\r\n")
             } else {
                 String::new()
             };
-            conn.send(whole("200 OK", &request, &lines, "done").as_bytes()).is_ok()
+            conn.send(whole("200 OK", &request, &lines, "done").as_bytes())
+                .is_ok()
         });
         let entry = server.entry(&format!("app{number}"), "hcm-a", 6);
         store.put("servers", &server.id, &entry);
@@ -129,7 +137,9 @@
                 return 2;
             };
             let name = nodes[holder].name.clone();
-            record.line(&format!("{name} places the requests of app0, and is stopped and started"));
+            record.line(&format!(
+                "{name} places the requests of app0, and is stopped and started"
+            ));
             if trouble {
                 store.late.lock().unwrap().push(name);
             }
@@ -144,7 +154,10 @@
             record.line(&format!("{} nodes are registered", count()));
         }
         for (write, is_late) in store.writes.lock().unwrap().iter() {
-            record.line(&format!("write {write}{}", if *is_late { ", late" } else { "" }));
+            record.line(&format!(
+                "write {write}{}",
+                if *is_late { ", late" } else { "" }
+            ));
         }
     }
     thread::sleep(Duration::from_secs(5));
@@ -205,7 +218,10 @@
         let most = (0..counted.len())
             .map(|first| {
                 let until = counted[first].0 + WINDOW;
-                counted[first..].iter().take_while(|(at, _)| *at < until).count()
+                counted[first..]
+                    .iter()
+                    .take_while(|(at, _)| *at < until)
+                    .count()
             })
             .max()
             .unwrap_or(0);
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -143,7 +143,9 @@
     fn respond(&self, request: &Message) -> (u16, String) {
         let target = request.target().to_owned();
         let (path, query) = target.split_once('?').unwrap_or((&target, ""));
-        let path = path.trim_start_matches("/objects/").trim_end_matches("/status");
+        let path = path
+            .trim_start_matches("/objects/")
+            .trim_end_matches("/status");
         let (kind, name) = path.split_once('/').unwrap_or((path, ""));
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let rev = number_after(query, "rev=").or_else(|| {
@@ -191,7 +193,12 @@
     }
 
     fn standing(&self, kind: &str, name: &str) -> Option<(u64, String)> {
-        self.state.lock().unwrap().objects.get(&key(kind, name)).cloned()
+        self.state
+            .lock()
+            .unwrap()
+            .objects
+            .get(&key(kind, name))
+            .cloned()
     }
 
     fn watch(&self, kind: &str, query: &str) -> (u16, String) {
@@ -261,7 +268,11 @@
 
 fn number_after(text: &str, name: &str) -> Option<u64> {
     let rest = &text[text.find(name)? + name.len()..];
-    let digits: String = rest.trim_start().chars().take_while(char::is_ascii_digit).collect();
+    let digits: String = rest
+        .trim_start()
+        .chars()
+        .take_while(char::is_ascii_digit)
+        .collect();
     digits.parse().ok()
 }
 
