--- a/review/stand-ins-2/early.rs
+++ b/review/stand-ins-2/early.rs
@@ -17,7 +17,8 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 /// How many events a server sends before it reads the rest of the body.
 const EVENTS_BEFORE_BODY: u64 = 20;
-const BODY: usize = 1_000_000;
+/// The bodies, in turn, in bytes.
+const BODIES: [usize; 2] = [1_000_000, 4_000_000];
 const REQUESTS: usize = 6;
 
 fn handle(conn: &mut Conn, mut request: Message, id: &str, early: bool, record: &Record) -> bool {
@@ -81,11 +82,12 @@
             let (record, cut) = (record.clone(), Arc::clone(&cut));
             thread::spawn(move || {
                 let id = format!("9c41d07be2a3{number:04x}");
+                let body = BODIES[number % BODIES.len()];
                 let request = format!(
-                    "POST /letter/2f HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {id}\r\nModel: m\r\nToken-Counts: 1460,1400\r\nPrompt-Prefix: 5c1e07a2:800,e4402b{number:02x}:660\r\nDeadline-Ms: 10000\r\nAuthorization: Token {KEY}\r\nContent-Length: {BODY}\r\n\r\n"
+                    "POST /letter/2f HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {id}\r\nModel: m\r\nToken-Counts: 1460,1400\r\nPrompt-Prefix: 5c1e07a2:800,e4402b{number:02x}:660\r\nDeadline-Ms: 10000\r\nAuthorization: Token {KEY}\r\nContent-Length: {body}\r\n\r\n"
                 );
                 let mut bytes = request.into_bytes();
-                bytes.resize(bytes.len() + BODY, b'p');
+                bytes.resize(bytes.len() + body, b'p');
                 let Ok(mut conn) = Conn::connect(front) else {
                     return;
                 };
