--- a/review/stand-ins-2/roll.rs
+++ b/review/stand-ins-2/roll.rs
@@ -146,10 +146,9 @@
             done.push(holder);
             let calm: Vec<usize> = (0..NODES).filter(|one| !done.contains(one)).collect();
             let others = &calm[calm.len() - OTHERS..];
-            let group = nodes.iter_mut().enumerate().filter_map(|(index, node)| {
-                (index == holder || others.contains(&index)).then_some(node)
-            });
-            restart(group.collect());
+            for index in [holder].iter().chain(others) {
+                restart(vec![&mut nodes[*index]]);
+            }
             thread::sleep(Duration::from_secs(5));
             record.line(&format!("{} nodes are registered", count()));
         }
