Log the era of the store, and reads that show an older configuration

Change: the client keeps the newest era that answers name (Form::era); a node logs store, restored when it rises, and configuration, older; gauge catkinusher_store_era. Nothing acts on it yet.

--- a/crates/catkinusher-core/src/object/mod.rs
+++ b/crates/catkinusher-core/src/object/mod.rs
@@ -10,6 +10,48 @@
 
 use serde::{Deserialize, Serialize};
 
+/// The history of a store to which a version belongs.
+///
+/// A store that comes back from an older copy begins a new era: it has lost what it had
+/// acknowledged since the copy, and gives the same version numbers out again
+/// (see [docs/PROTOCOLS.md](../../../../docs/PROTOCOLS.md)).
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(u64);
+
+impl Era {
+    /// The era of a store that names none.
+    pub const NONE: Self = Self(0);
+
+    /// Creates an era from its number.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The number of the era.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Era {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
 /// The version of an object; versions increase across the whole store.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/catkinusher-platform/src/form/mod.rs
+++ b/crates/catkinusher-platform/src/form/mod.rs
@@ -18,7 +18,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use catkinusher_core::object::Version;
+use catkinusher_core::object::{Era, Version};
 use catkinusher_core::units;
 
 use crate::error::{Bad, Error, Result, Unsendable};
@@ -96,6 +96,12 @@
         wire
     }
 
+    /// The era of the store that a response names in its headers, if this API has eras.
+    #[must_use]
+    fn era(&self, _headers: &HeaderMap) -> Option<Era> {
+        None
+    }
+
     /// Encodes a write.
     ///
     /// # Errors
--- a/crates/catkinusher-platform/src/lib.rs
+++ b/crates/catkinusher-platform/src/lib.rs
@@ -14,7 +14,7 @@
 
 mod transport;
 
-pub use catkinusher_core::object::Version;
+pub use catkinusher_core::object::{Era, Version};
 pub use error::{Error, Result};
 pub use gate::{Calls, Gate, Priority};
 pub use store::{Event, Listing, Object, Store, Unreadable, Watched};
--- a/crates/catkinusher-platform/src/store/mod.rs
+++ b/crates/catkinusher-platform/src/store/mod.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use catkinusher_core::object::Version;
+use catkinusher_core::object::{Era, Version};
 
 use crate::error::{Bad, Error, Result};
 use crate::form::{Condition, Form, Native, Wire, lenient};
@@ -303,8 +303,18 @@
         }
     }
 
+    /// The newest era that the store has named, [`Era::NONE`] if it names none.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        self.transport.era()
+    }
+
     async fn send(&self, call: Call) -> Result<Reply> {
-        self.transport.send(call, self.priority).await
+        let reply = self.transport.send(call, self.priority).await?;
+        if let Some(era) = self.form.era(&reply.headers) {
+            self.transport.on_era(era);
+        }
+        Ok(reply)
     }
 
     /// Builds a conflict error with the version reported by the platform.
--- a/crates/catkinusher-platform/src/transport/mod.rs
+++ b/crates/catkinusher-platform/src/transport/mod.rs
@@ -1,7 +1,7 @@
 //! HTTP calls to the platform with time and size limits.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::{Instant, timeout_at};
 
+use catkinusher_core::object::Era;
 use catkinusher_core::units;
 
 use crate::error::{Bad, Error, Lost, Outage, Result, Unsendable};
@@ -52,6 +53,7 @@
 #[derive(Debug)]
 pub(crate) struct Reply {
     pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
@@ -62,6 +64,8 @@
     client: Mutex<Http>,
     timeout: Duration,
     gate: Gate,
+    /// The newest era that a response has named.
+    era: AtomicU64,
 }
 
 /// Connections to the platform; clones share them.
@@ -80,12 +84,24 @@
             client,
             timeout,
             gate,
+            era: AtomicU64::new(Era::NONE.get()),
         };
         Self {
             shared: Arc::new(shared),
         }
     }
 
+    /// The newest era that a response has named.
+    pub(crate) fn era(&self) -> Era {
+        Era::new(self.shared.era.load(Ordering::Relaxed))
+    }
+
+    /// Records the era of a response, and returns the newest one so far.
+    pub(crate) fn on_era(&self, era: Era) -> Era {
+        let before = self.shared.era.fetch_max(era.get(), Ordering::Relaxed);
+        era.max(Era::new(before))
+    }
+
     /// Sends `call` once and returns the response unless its status is a server error or 429.
     ///
     /// # Errors
@@ -123,7 +139,11 @@
             status if status.is_server_error() => Err(Error::Lost(Lost::Failed(status))),
             status => {
                 let body = collect(body, limit).await?;
-                Ok(Reply { status, body })
+                Ok(Reply {
+                    status,
+                    headers: head.headers,
+                    body,
+                })
             }
         }
     }
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -92,7 +92,9 @@
 {
     let began = clock::boot_time();
     let (kind, name) = S::CONFIGURATION;
-    match store.get::<Value>(kind, name).await {
+    let answer = store.get::<Value>(kind, name).await;
+    state.on_era(store.era());
+    match answer {
         Ok(object) => {
             let is_current = object
                 .is_none_or(|one| watch::apply_configuration(state, schema, &one.name, one.value));
@@ -128,7 +130,9 @@
     S: StoreSchema,
 {
     let (kind, name) = S::CONFIGURATION;
-    match store.get::<Value>(kind, name).await {
+    let answer = store.get::<Value>(kind, name).await;
+    state.on_era(store.era());
+    match answer {
         Ok(object) => {
             if let Some(object) = object {
                 // A bad object ends the trust only if a read shows that it is the newest.
--- a/crates/catkinusherd/src/gateway/metrics.rs
+++ b/crates/catkinusherd/src/gateway/metrics.rs
@@ -44,6 +44,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct GaugeValues {
     pub(super) revision: u64,
+    pub(super) era: u64,
     pub(super) confirmed_age: Option<Duration>,
     pub(super) upstreams: usize,
     pub(super) nodes: usize,
@@ -62,6 +63,7 @@
     first_event_seconds: Histogram,
     answer_seconds: Histogram,
     revision: Gauge,
+    era: Gauge,
     confirmed_age: Gauge,
     upstreams: Gauge,
     nodes: Gauge,
@@ -82,6 +84,7 @@
             first_event_seconds: Histogram::new(BUCKETS),
             answer_seconds: Histogram::new(BUCKETS),
             revision: Gauge::default(),
+            era: Gauge::default(),
             confirmed_age: Gauge::default(),
             upstreams: Gauge::default(),
             nodes: Gauge::default(),
@@ -117,6 +120,8 @@
         registry.register("answer_seconds", help, self.answer_seconds.clone());
         let help = "Revision of the configuration in force";
         registry.register("revision", help, self.revision.clone());
+        let help = "Era of the store, 0 if it names none";
+        registry.register("store_era", help, self.era.clone());
         let help = "Milliseconds since the configuration was confirmed, -1 if never";
         registry.register("confirmed_age_ms", help, self.confirmed_age.clone());
         registry.register("upstreams", "Upstreams listed", self.upstreams.clone());
@@ -173,6 +178,7 @@
     pub(super) fn encode_text(&self, values: &GaugeValues) -> String {
         let whole = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
         self.revision.set(whole(values.revision));
+        self.era.set(whole(values.era));
         let age = values
             .confirmed_age
             .map_or(-1, |age| whole(age.as_millis() as u64));
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use catkinusher_core::directory::Directory;
 use catkinusher_core::fleet::{Fleet, MIN_ASSUMED_NODES};
 use catkinusher_core::id::{Incarnation, ServiceId};
+use catkinusher_core::object::Era;
 use catkinusher_core::placer::{Asker, Placer};
 use catkinusher_core::poison::{self, Detector};
 use catkinusher_core::rendezvous::Salt;
@@ -18,6 +19,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
+use tracing::info;
 
 use super::bad_entries::BadEntries;
 use super::clock;
@@ -137,6 +139,8 @@
     pub(super) trials: Trials,
     /// When the store was last confirmed again after an outage, in microseconds since boot.
     pub(super) regained_at: AtomicU64,
+    /// The newest era of the store that this node has heard of.
+    era: AtomicU64,
     socket: OnceLock<Arc<UdpSocket>>,
     roster: Mutex<Roster>,
     registration: Mutex<Registration>,
@@ -166,6 +170,7 @@
             bad_entries: BadEntries::default(),
             trials: Trials::default(),
             regained_at: AtomicU64::new(0),
+            era: AtomicU64::new(Era::NONE.get()),
             socket: OnceLock::new(),
             roster: Mutex::new(roster),
             registration: Mutex::default(),
@@ -251,6 +256,16 @@
         (regained_at > Time::ZERO && recent).then_some(regained_at)
     }
 
+    /// Records the newest era that the store has named to this node.
+    ///
+    /// A later one than before shows that the store came back from an older copy.
+    pub(super) fn on_era(&self, era: Era) {
+        let before = Era::new(self.era.fetch_max(era.get(), Ordering::Relaxed));
+        if before != Era::NONE && before < era {
+            info!(event = "store", outcome = "restored", %era, %before);
+        }
+    }
+
     /// Whether this node reads the store for others.
     pub(super) fn is_reader(&self) -> bool {
         let now = clock::boot_time();
@@ -337,7 +352,7 @@
             && fresh;
         drop(view);
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
-            tracing::info!(event = "ready", ready);
+            info!(event = "ready", ready);
         }
         ready
     }
@@ -351,6 +366,7 @@
         let fleet = self.fleet();
         let values = GaugeValues {
             revision,
+            era: self.era.load(Ordering::Relaxed),
             confirmed_age,
             upstreams: fleet.len(),
             nodes: self.roster().len(),
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -175,7 +175,9 @@
         } else {
             store.clone()
         };
-        match poll_store(&state, &store, &mut handler, poll).await {
+        let result = poll_store(&state, &store, &mut handler, poll).await;
+        state.on_era(store.era());
+        match result {
             Ok(PollResult { next, newest }) => {
                 state.metrics.on_call(handler.kind(), "answered");
                 let failures = store_outage.on_answer();
@@ -399,7 +401,16 @@
     let mut view = state.view();
     let current = view.directory.as_ref().map(|one| one.revision());
     // A late answer must not restore an older revision.
-    if current.is_some_and(|current| current >= directory.revision()) {
+    if let Some(current) = current.filter(|current| *current >= directory.revision()) {
+        let revision = directory.revision();
+        if revision < current {
+            info!(
+                event = "configuration",
+                outcome = "older",
+                revision,
+                current
+            );
+        }
         return true;
     }
     info!(
