Compare versions of the store within one era only

What callers saw: by the test, requests to a server that was removed, for as long as the node ran.

Cause: a version is a number that a restored store gives out again. A node whose watch stood at a number that the new history had reached got no 410 and went on, and nodes compared such numbers with each other; a conditional write could meet another object under the same number.

Change: Version carries the Era that the answer named, and is ordered by it first. A watch or a page of a list that is answered in another era counts as compacted, so a current list follows; an answer of an era that is over is no answer; a condition of an earlier era does not hold. Changes are not passed on across eras, and a peer in a later era restarts a watch at once. A store that names no eras is served as before, also on the wire between nodes.

--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::freshness::Freshness;
 use crate::id::{Incarnation, Serial};
-use crate::object::Version;
+use crate::object::{Era, Version};
 use crate::roster::{Duty, Roster};
 use crate::time::Time;
 
@@ -99,6 +99,19 @@
     pub quarantine: Version,
 }
 
+impl StorePosition {
+    /// The newest era of the store that it shows.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        let versions = [self.upstreams, self.drained, self.nodes, self.quarantine];
+        versions
+            .map(Version::era)
+            .into_iter()
+            .max()
+            .unwrap_or_default()
+    }
+}
+
 /// An action for the caller of [`Confirmer::poll`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
--- a/crates/catkinusher-core/src/feed/mod.rs
+++ b/crates/catkinusher-core/src/feed/mod.rs
@@ -74,7 +74,7 @@
         .map(|(name, object)| {
             let (version, value) = match object {
                 Some((version, value)) => {
-                    latest = Version::new(version.get().saturating_sub(1));
+                    latest = version.previous();
                     (version, Some(value))
                 }
                 None => (latest, None),
@@ -127,6 +127,8 @@
     pub newest: Version,
     /// The objects that were known and are no longer there.
     pub removed: Vec<String>,
+    /// Whether it is the first list of an era of the store, so that what is missing may be lost.
+    pub is_restored: bool,
 }
 
 impl<T> Default for ChangeLog<T> {
@@ -154,14 +156,17 @@
     ///
     /// What differs from what was known before are the changes since, so that
     /// they can be passed on even if the store's history does not hold them any
-    /// more. A first list hides all changes before it, of which any may be recent.
+    /// more. A first list hides all changes before it, of which any may be recent,
+    /// and so does the first list of an era, as the store has lost changes that
+    /// other nodes know.
     pub fn on_list<'a, I>(&mut self, version: Version, listed: I, outage: bool) -> ListDifference
     where
         I: IntoIterator<Item = (&'a str, Version, &'a T)>,
         T: 'a,
     {
         let known = std::mem::take(&mut self.objects);
-        let is_first = self.upto == Version::NONE || version < self.upto;
+        let is_restored = self.upto != Version::NONE && version.era() != self.upto.era();
+        let is_first = self.upto == Version::NONE || is_restored || version < self.upto;
         let mut changes = Vec::new();
         for (name, version, value) in listed {
             self.objects.insert(name.to_owned(), version);
@@ -183,6 +188,7 @@
             return ListDifference {
                 newest: version,
                 removed,
+                is_restored,
             };
         }
         changes.sort_by_key(|change| change.version);
@@ -198,6 +204,7 @@
         ListDifference {
             newest: newest.unwrap_or_default(),
             removed,
+            is_restored,
         }
     }
 
@@ -227,12 +234,13 @@
     }
 
     /// The changes after `version` for a node that has seen all before, or
-    /// `None` if they are no longer complete here.
+    /// `None` if they are no longer complete here or the version is of another era.
     ///
     /// Changes with the same version are in the same batch.
     #[must_use]
     pub fn since(&self, version: Version) -> Option<Vec<Batch<T>>> {
-        if version < self.after || version == Version::NONE {
+        let is_known = version.era() == self.upto.era() && version >= self.after;
+        if !is_known || version == Version::NONE {
             return None;
         }
         let mut batches = Vec::new();
@@ -264,6 +272,9 @@
     /// Whether a batch continues what this node has seen.
     #[must_use]
     pub fn continues(&self, batch: &Batch<T>) -> bool {
-        self.upto != Version::NONE && batch.after <= self.upto && batch.upto > self.upto
+        self.upto != Version::NONE
+            && batch.after.era() == self.upto.era()
+            && batch.after <= self.upto
+            && batch.upto > self.upto
     }
 }
--- a/crates/catkinusher-core/src/object/mod.rs
+++ b/crates/catkinusher-core/src/object/mod.rs
@@ -53,32 +53,100 @@
 }
 
 /// The version of an object; versions increase across the whole store.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Version(u64);
+///
+/// A number names a state within one era only, so every version of a later era is newer.
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "VersionForm", from = "VersionForm")]
+pub struct Version {
+    era: Era,
+    number: u64,
+}
+
+/// The serialized form of a [`Version`]: the number alone if the store names no eras.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum VersionForm {
+    Number(u64),
+    InEra(Era, u64),
+}
+
+impl From<Version> for VersionForm {
+    fn from(version: Version) -> Self {
+        match version.era {
+            Era::NONE => Self::Number(version.number),
+            era => Self::InEra(era, version.number),
+        }
+    }
+}
+
+impl From<VersionForm> for Version {
+    fn from(form: VersionForm) -> Self {
+        match form {
+            VersionForm::Number(number) => Self::new(number),
+            VersionForm::InEra(era, number) => Self::new(number).in_era(era),
+        }
+    }
+}
 
 impl Version {
     /// The version of an object that does not exist.
-    pub const NONE: Self = Self(0);
+    pub const NONE: Self = Self::new(0);
 
-    /// Creates a version from its number.
+    /// Creates a version of a store that names no eras.
     #[must_use]
     pub const fn new(number: u64) -> Self {
-        Self(number)
+        Self {
+            era: Era::NONE,
+            number,
+        }
+    }
+
+    /// The same number in an era of the store.
+    #[must_use]
+    pub const fn in_era(self, era: Era) -> Self {
+        Self { era, ..self }
     }
 
     /// The version number.
     #[must_use]
     pub const fn get(self) -> u64 {
-        self.0
+        self.number
+    }
+
+    /// The era of the store in which the number holds.
+    #[must_use]
+    pub const fn era(self) -> Era {
+        self.era
+    }
+
+    /// The version before this one.
+    #[must_use]
+    pub const fn previous(self) -> Self {
+        Self {
+            number: self.number.saturating_sub(1),
+            ..self
+        }
+    }
+}
+
+impl fmt::Debug for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut tuple = f.debug_tuple("Version");
+        tuple.field(&self.number);
+        if self.era != Era::NONE {
+            tuple.field(&self.era);
+        }
+        tuple.finish()
     }
 }
 
 impl fmt::Display for Version {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "v{}", self.0)
+        write!(f, "v{}", self.number)?;
+        if self.era == Era::NONE {
+            return Ok(());
+        }
+        write!(f, "@{}", self.era)
     }
 }
 
@@ -86,8 +154,12 @@
     type Err = ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (text, era) = match text.split_once('@') {
+            Some((text, era)) => (text, era.parse()?),
+            None => (text, Era::NONE),
+        };
         let digits = text.strip_prefix('v').unwrap_or(text);
-        digits.parse().map(Self)
+        digits.parse().map(|number| Self::new(number).in_era(era))
     }
 }
 
--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -7,7 +7,7 @@
     ANY_REVISION, Action, ConfirmReply, Confirmer, ReplyOutcome, StorePosition, WatchProgress,
 };
 use catkinusher_core::id::{Incarnation, Serial};
-use catkinusher_core::object::Version;
+use catkinusher_core::object::{Era, Version};
 use catkinusher_core::roster::{Member, Roster};
 use catkinusher_core::time::Time;
 use rand::{RngExt, SeedableRng};
@@ -624,3 +624,21 @@
         assert!(count >= COUNT - 8, "{count} are confirmed, seed {seed}");
     }
 }
+
+#[test]
+fn a_peer_in_a_later_era_of_the_store_restarts_a_watch_at_once() {
+    let in_era = |era, number| Version::new(number).in_era(Era::new(era));
+    let mut progress = WatchProgress::default();
+    progress.on_answer(in_era(1, 40), Some(in_era(1, 40)));
+    assert!(
+        !progress.on_peer_version(in_era(1, 41)),
+        "a change may be on its way"
+    );
+    assert!(progress.on_peer_version(in_era(2, 12)));
+    progress.on_answer(in_era(2, 12), None);
+    assert!(
+        !progress.on_peer_version(in_era(1, 90)),
+        "of an era that is over"
+    );
+    assert!(!progress.is_behind());
+}
--- a/crates/catkinusher-core/tests/feed.rs
+++ b/crates/catkinusher-core/tests/feed.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use catkinusher_core::feed::{Batch, Change, ChangeLog, ListDifference, numbered};
-use catkinusher_core::object::Version;
+use catkinusher_core::object::{Era, Version};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -35,6 +35,32 @@
     assert_eq!(log.since(Version::new(4)), None);
 }
 
+#[test]
+fn a_log_passes_nothing_on_across_eras_of_the_store() {
+    let in_era = |era, number| Version::new(number).in_era(Era::new(era));
+    let mut log = ChangeLog::default();
+    log.on_list(in_era(1, 20), [("a", in_era(1, 4), &1)], false);
+    let difference = log.on_list(in_era(2, 12), [], false);
+    let removed = vec!["a".to_owned()];
+    let expected = ListDifference {
+        newest: in_era(2, 12),
+        removed,
+        is_restored: true,
+    };
+    assert_eq!(difference, expected);
+    log.on_changes(in_era(2, 25), []);
+    assert_eq!(log.since(in_era(1, 20)), None, "an earlier era");
+    assert_eq!(log.since(in_era(1, 30)), None, "beyond the restored copy");
+    assert!(log.since(in_era(2, 12)).is_some());
+    let batch = |era| Batch::<u64> {
+        after: in_era(era, 25),
+        upto: in_era(era, 30),
+        changes: Vec::new(),
+    };
+    let continues = [1, 2, 3].map(|era| log.continues(&batch(era)));
+    assert_eq!(continues, [false, true, false]);
+}
+
 #[test]
 fn a_later_list_shows_the_changes_and_removals_since() {
     let mut log = ChangeLog::default();
@@ -53,7 +79,8 @@
         difference,
         ListDifference {
             newest: version(20),
-            removed
+            removed,
+            is_restored: false,
         }
     );
     let batches = log.since(version(15)).unwrap();
--- a/crates/catkinusher-platform/src/error/mod.rs
+++ b/crates/catkinusher-platform/src/error/mod.rs
@@ -6,7 +6,7 @@
 use http::StatusCode;
 use thiserror::Error;
 
-use catkinusher_core::object::Version;
+use catkinusher_core::object::{Era, Version};
 use catkinusher_core::units::{Bytes, Span};
 
 /// The outcome of a call to the platform.
@@ -85,6 +85,9 @@
     /// The connection closed within the response body.
     #[error("connection closed within the body")]
     Cut,
+    /// The response is of an era that is over, or of another one than the condition of the write.
+    #[error("it answers from era {0} of the store")]
+    OtherEra(Era),
     /// The platform responded with a server error other than 503.
     #[error("it answers {0}")]
     Failed(StatusCode),
--- a/crates/catkinusher-platform/src/store/mod.rs
+++ b/crates/catkinusher-platform/src/store/mod.rs
@@ -3,16 +3,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use catkinusher_core::object::{Era, Version};
 
-use crate::error::{Bad, Error, Result};
+use crate::error::{Bad, Error, Lost, Result};
 use crate::form::{Condition, Form, Native, Wire, lenient};
 use crate::gate::{Gate, Priority};
-use crate::transport::{Call, Reply, Transport};
+use crate::transport::{Call, Transport};
 
 mod object;
 mod perform;
@@ -151,7 +152,8 @@
         match reply.status {
             StatusCode::OK => {
                 let decode = |body: &[u8]| self.form.object(body);
-                self.decode(&reply.body, decode, |_| true).map(Some)
+                let object: Object<T> = self.decode(&reply.body, decode, |_| true)?;
+                Ok(Some(object.in_era(reply.era)))
             }
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(unexpected(status)),
@@ -165,7 +167,8 @@
     ///
     /// # Errors
     ///
-    /// Any of [`Error`] but a conflict.
+    /// [`Error::Compacted`] if a new era began between two pages; else any of [`Error`] but a
+    /// conflict.
     pub async fn list<T>(&self, kind: &str, prefix: &str) -> Result<Listing<T>>
     where
         T: DeserializeOwned,
@@ -173,6 +176,7 @@
         let (mut whole, mut more) = self.page(kind, prefix, None).await?;
         while let Some(after) = more {
             let (page, next) = self.page(kind, prefix, Some(&after)).await?;
+            check_era(whole.version, page.version.era())?;
             whole.objects.extend(page.objects);
             whole.unreadable.extend(page.unreadable);
             more = next;
@@ -194,9 +198,11 @@
         match reply.status {
             StatusCode::OK => {
                 let decode = |body: &[u8]| self.form.listing(body);
-                self.decode(&reply.body, decode, |(listing, _)| {
-                    listing.unreadable.is_empty()
-                })
+                let (listing, more): (Listing<T>, _) =
+                    self.decode(&reply.body, decode, |(listing, _)| {
+                        listing.unreadable.is_empty()
+                    })?;
+                Ok((listing.in_era(reply.era), more))
             }
             status => Err(unexpected(status)),
         }
@@ -218,7 +224,8 @@
     ///
     /// # Errors
     ///
-    /// A conflict if the object has another version; else any of [`Error`].
+    /// A conflict if the object has another version, or if that is of an earlier era; else any of
+    /// [`Error`].
     pub async fn update<T>(
         &self,
         kind: &str,
@@ -252,7 +259,7 @@
     pub async fn delete(&self, kind: &str, name: &str, over: Option<Version>) -> Result<bool> {
         let condition = over.map_or(Condition::Any, Condition::At);
         let call = call(self.form.delete(kind, name, condition), SHORT_LIMIT);
-        let reply = self.send(call).await?;
+        let reply = self.write(call, condition).await?;
         match reply.status {
             StatusCode::OK => Ok(true),
             StatusCode::NOT_FOUND => Ok(false),
@@ -266,7 +273,7 @@
     /// # Errors
     ///
     /// [`Error::Compacted`] if the changes since `after` have been
-    /// compacted; else any of [`Error`] but a conflict.
+    /// compacted, or if the store is in another era; else any of [`Error`] but a conflict.
     pub async fn watch<T>(&self, kind: &str, after: Version, wait: Duration) -> Result<Watched<T>>
     where
         T: DeserializeOwned,
@@ -274,10 +281,13 @@
         let mut call = call(self.read(self.form.watch(kind, after, wait)), LIST_LIMIT);
         call.wait = wait;
         let reply = self.send(call).await?;
+        check_era(after, reply.era)?;
         match reply.status {
             StatusCode::OK => {
                 let decode = |body: &[u8]| self.form.watched(body);
-                self.decode(&reply.body, decode, |watched| watched.unreadable.is_empty())
+                let watched: Watched<T> =
+                    self.decode(&reply.body, decode, |watched| watched.unreadable.is_empty())?;
+                Ok(watched.in_era(reply.era))
             }
             StatusCode::GONE => Err(Error::Compacted { after }),
             status => Err(unexpected(status)),
@@ -295,9 +305,12 @@
         T: Serialize,
     {
         let call = call(self.form.put(kind, name, value, condition)?, SHORT_LIMIT);
-        let reply = self.send(call).await?;
+        let reply = self.write(call, condition).await?;
         match reply.status {
-            StatusCode::OK | StatusCode::CREATED => self.form.version(&reply.body),
+            StatusCode::OK | StatusCode::CREATED => {
+                let version = self.form.version(&reply.body)?;
+                Ok(version.in_era(reply.era))
+            }
             status if status == F::CONFLICT => Err(self.conflict(&reply)),
             status => Err(unexpected(status)),
         }
@@ -309,23 +322,67 @@
         self.transport.era()
     }
 
-    async fn send(&self, call: Call) -> Result<Reply> {
+    /// Sends a call; the answer must not be of an earlier era than one before.
+    ///
+    /// A stale read may be answered by a copy that has not followed the store into its new era, and
+    /// what a late answer confirms may be lost.
+    async fn send(&self, call: Call) -> Result<Dated> {
         let reply = self.transport.send(call, self.priority).await?;
-        if let Some(era) = self.form.era(&reply.headers) {
-            self.transport.on_era(era);
+        let named = self.form.era(&reply.headers);
+        let era = named.unwrap_or_else(|| self.era());
+        if era < self.transport.on_era(era) {
+            return Err(Error::Lost(Lost::OtherEra(era)));
+        }
+        Ok(Dated {
+            status: reply.status,
+            body: reply.body,
+            era,
+        })
+    }
+
+    /// Sends a write, whose condition holds only in the era of the version that it names.
+    async fn write(&self, call: Call, condition: Condition) -> Result<Dated> {
+        let Condition::At(version) = condition else {
+            return self.send(call).await;
+        };
+        let standing = Version::NONE;
+        if version.era() < self.era() {
+            return Err(Error::Conflict { standing });
+        }
+        let reply = self.send(call).await?;
+        if reply.era != version.era() && reply.status.is_success() {
+            return Err(Error::Lost(Lost::OtherEra(reply.era)));
         }
         Ok(reply)
     }
 
     /// Builds a conflict error with the version reported by the platform.
-    fn conflict(&self, reply: &Reply) -> Error {
+    fn conflict(&self, reply: &Dated) -> Error {
         match self.form.version(&reply.body) {
-            Ok(standing) => Error::Conflict { standing },
+            Ok(standing) => Error::Conflict {
+                standing: standing.in_era(reply.era),
+            },
             Err(fault) => fault,
         }
     }
 }
 
+/// A response, and the era of the store that gave it.
+struct Dated {
+    status: StatusCode,
+    body: Bytes,
+    era: Era,
+}
+
+/// Checks that an answer is of the same era as the version that it continues.
+fn check_era(after: Version, era: Era) -> Result<()> {
+    if after.era() == era {
+        Ok(())
+    } else {
+        Err(Error::Compacted { after })
+    }
+}
+
 fn call(wire: Wire, limit: usize) -> Call {
     Call {
         wire,
--- a/crates/catkinusher-platform/src/store/object.rs
+++ b/crates/catkinusher-platform/src/store/object.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use catkinusher_core::object::Version;
+use catkinusher_core::object::{Era, Version};
 
 /// A versioned object.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +15,14 @@
     pub value: T,
 }
 
+impl<T> Object<T> {
+    /// Places its version in an era, which its encoded form does not tell.
+    pub(super) fn in_era(mut self, era: Era) -> Self {
+        self.version = self.version.in_era(era);
+        self
+    }
+}
+
 /// An object that could not be decoded; the other ones of its page hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unreadable {
@@ -36,6 +44,17 @@
     pub unreadable: Vec<Unreadable>,
 }
 
+impl<T> Listing<T> {
+    /// Places all versions in an era.
+    pub(super) fn in_era(mut self, era: Era) -> Self {
+        self.version = self.version.in_era(era);
+        for object in &mut self.objects {
+            object.version = object.version.in_era(era);
+        }
+        self
+    }
+}
+
 /// A change of an object, as reported by a watch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Event<T> {
@@ -58,3 +77,14 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub unreadable: Vec<Unreadable>,
 }
+
+impl<T> Watched<T> {
+    /// Places all versions in an era.
+    pub(super) fn in_era(mut self, era: Era) -> Self {
+        self.version = self.version.in_era(era);
+        for event in &mut self.events {
+            event.version = event.version.in_era(era);
+        }
+        self
+    }
+}
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -184,6 +184,7 @@
         }
         ReplyOutcome::Ignored => return,
     }
+    state.on_era(reply.known.era());
     let mut view = state.view();
     let upstreams = view.upstreams.on_peer_version(reply.known.upstreams);
     let drained = view.drained.on_peer_version(reply.known.drained);
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -258,11 +258,13 @@
 
     /// Records the newest era that the store has named to this node.
     ///
-    /// A later one than before shows that the store came back from an older copy.
+    /// A later one than before shows that the store came back from an older copy, so all watches
+    /// have to begin anew.
     pub(super) fn on_era(&self, era: Era) {
         let before = Era::new(self.era.fetch_max(era.get(), Ordering::Relaxed));
         if before != Era::NONE && before < era {
             info!(event = "store", outcome = "restored", %era, %before);
+            self.notifiers.notify_watches();
         }
     }
 
