Register a node again when its entry is gone

What callers saw: by the test, a node that no other knew any more, so that it placed alone and limits of the whole fleet were divided among too few.

Cause: a node registered once, at its start. The class: a write taken for a lasting state, though the store may lose it.

Change: the node writes its entry whenever the list or an event shows that it is missing, until it stops. An entry that another process has written under its name stays.

--- a/crates/catkinusherd/src/gateway/peers/mod.rs
+++ b/crates/catkinusherd/src/gateway/peers/mod.rs
@@ -93,6 +93,11 @@
     }
 }
 
+/// Keeps this node registered until it stops.
+///
+/// Its entry may be lost with all that a restored store has lost, or be removed by a late call of
+/// an earlier process on this VM. An entry that another process has written stays, as two that
+/// replaced each other's would never end.
 async fn register<D, S>(state: Arc<State<D>>, store: Store<S::Form>)
 where
     D: Dialect,
@@ -104,19 +109,26 @@
     while state.registration() == Registration::Unknown {
         state.timers.after(LIST_POLL).await;
     }
-    while state.registration() != Registration::Listed(own.clone()) {
-        match write_registration::<S>(&store, &name, &own).await {
-            Ok(()) => break,
-            Err(error) => {
-                debug!("peers: cannot register this node: {error}");
-                state.timers.after(RETRY_PAUSE).await;
+    let mut is_due = state.registration() != Registration::Listed(own.clone());
+    loop {
+        if is_due && !state.stopping.is_cancelled() {
+            match write_registration::<S>(&store, &name, &own).await {
+                Ok(()) => {
+                    state.set_registration(Some(&own));
+                    info!(event = "peers", outcome = "registered");
+                }
+                Err(error) => {
+                    debug!("peers: cannot register this node: {error}");
+                    state.timers.after(RETRY_PAUSE).await;
+                    continue;
+                }
             }
         }
-    }
-    info!(event = "peers", outcome = "registered");
-    loop {
-        state.timers.after(EVICT_PERIOD).await;
-        state.pool.evict_expired(state.now());
+        tokio::select! {
+            () = state.notifiers.registration.notified() => {}
+            () = state.timers.after(EVICT_PERIOD) => state.pool.evict_expired(state.now()),
+        }
+        is_due = state.registration() == Registration::Missing;
     }
 }
 
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -79,6 +79,8 @@
     pub(super) drained: Notify,
     pub(super) nodes: Notify,
     pub(super) quarantine: Notify,
+    /// The entry of this node is there no more.
+    pub(super) registration: Notify,
     /// Content is suspected to crash upstreams.
     pub(super) suspected: Notify,
     /// Asks are waiting at this node.
@@ -242,6 +244,9 @@
             Some(member) => Registration::Listed(member.clone()),
             None => Registration::Missing,
         };
+        if member.is_none() {
+            self.notifiers.registration.notify_one();
+        }
     }
 
     /// How this node is registered.
