Do not take a restored copy of the store for the present state of upstreams

What callers saw: by the tests, requests to a server that leaves or has left, and to a data centre that is drained, until operator and servers had written again what was lost.

Cause: the first list after the store came back was applied like any other. What it lacks was taken for removed, and what it has for new.

Change: an upstream's entry holds its sequence, and one that is older within an incarnation is not applied.

--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod peers;
 mod place;
+mod restore;
 mod said;
 pub mod spread;
 mod upstream;
@@ -33,6 +34,7 @@
 use self::health::Health;
 use self::limit::NamedLimit;
 use self::peers::PeerLoads;
+use self::restore::Remembered;
 use self::said::Said;
 use self::spread::Sends;
 use crate::id::{DataCentreId, ServiceId, UpstreamId};
@@ -70,6 +72,9 @@
     said_leaving: bool,
     /// Until when it wants no requests from this node.
     rests_until: Time,
+    /// Until when it gets none, as an older copy of the store lists it although it had left.
+    #[serde(default)]
+    returned_until: Option<Time>,
     limit: NamedLimit,
     /// The load that its last answer to this node named.
     said: Option<Said>,
@@ -123,6 +128,8 @@
     home: DataCentreId,
     entries: BTreeMap<UpstreamId, Entry>,
     drained: BTreeSet<DataCentreId>,
+    #[serde(default)]
+    remembered: Remembered,
     peers: HashMap<u64, PeerLoads>,
     /// When the last load report of a peer was received.
     reported_at: Option<Time>,
@@ -148,6 +155,7 @@
             home,
             entries: BTreeMap::new(),
             drained: BTreeSet::new(),
+            remembered: Remembered::default(),
             peers: HashMap::new(),
             reported_at: None,
             short_ids: HashMap::new(),
@@ -183,10 +191,17 @@
         }
     }
 
-    /// Adds or updates one upstream.
+    /// Adds or updates one upstream, unless the entry is older than the known one.
     pub fn on_change(&mut self, upstream: Upstream, now: Time) {
         let warm_at = now + upstream.cold_for;
         if let Some(entry) = self.entries.get_mut(&upstream.id) {
+            if entry.upstream.is_newer_than(&upstream) {
+                entry.expires_at = None;
+                return;
+            }
+            if upstream.is_newer_than(&entry.upstream) {
+                entry.returned_until = None;
+            }
             if entry.upstream.started != upstream.started {
                 entry.health = Health::default();
                 entry.said_leaving = false;
@@ -205,6 +220,7 @@
             expires_at: None,
             said_leaving: false,
             rests_until: Time::ZERO,
+            returned_until: None,
             limit: NamedLimit::default(),
             said: None,
             health: Health::default(),
@@ -223,10 +239,11 @@
         self.cells = Cells::new(self.entries.values());
     }
 
-    fn remove(&mut self, id: &UpstreamId) {
+    fn remove(&mut self, id: &UpstreamId, now: Time) {
         if let Some(entry) = self.entries.remove(id) {
             self.short_ids.remove(&place::short_id(entry.rank));
             self.cells = Cells::new(self.entries.values());
+            self.remembered.on_departed(entry.upstream, now);
         }
     }
 
@@ -244,7 +261,7 @@
     /// Removes an upstream, after a grace period if `outage` is set (see [`Self::on_list`]).
     pub fn on_removed(&mut self, id: &UpstreamId, outage: bool, now: Time) {
         if !outage {
-            self.remove(id);
+            self.remove(id, now);
         } else if let Some(entry) = self.entries.get_mut(id) {
             entry.expires_at.get_or_insert(now + LAPSE_GRACE);
         }
@@ -259,8 +276,12 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
-            self.remove(id);
+            self.remove(id, now);
+        }
+        for entry in self.entries.values_mut() {
+            entry.returned_until = entry.returned_until.filter(|until| now < *until);
         }
+        self.remembered.expire(now);
         expired
     }
 
@@ -467,7 +488,10 @@
 
     fn is_open(&self, entry: &Entry) -> bool {
         let is_leaving = entry.upstream.leaving || entry.said_leaving;
-        !is_leaving && !self.drained.contains(&entry.upstream.data_centre)
+        let data_centre = &entry.upstream.data_centre;
+        let is_drained =
+            self.drained.contains(data_centre) || self.remembered.is_drained(data_centre);
+        !is_leaving && !is_drained && entry.returned_until.is_none()
     }
 
     /// The load of an upstream, summed over this node and what it knows of its peers.
--- a/crates/catkinusher-core/src/fleet/upstream.rs
+++ b/crates/catkinusher-core/src/fleet/upstream.rs
@@ -27,4 +27,16 @@
     pub cold_for: Duration,
     /// The start time that it reports; a different value means a new incarnation.
     pub started: Option<u64>,
+    /// The number that this incarnation has given its report; a lower one is older.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sequence: Option<u64>,
+}
+
+impl Upstream {
+    /// Whether this is a later entry of the same incarnation than `other`.
+    #[must_use]
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        let is_same = self.started.is_some() && self.started == other.started;
+        is_same && other.sequence.is_some() && self.sequence > other.sequence
+    }
 }
--- a/crates/catkinusher-core/tests/site/mod.rs
+++ b/crates/catkinusher-core/tests/site/mod.rs
@@ -42,5 +42,6 @@
         leaving: false,
         cold_for: Duration::ZERO,
         started: Some(1),
+        sequence: None,
     }
 }
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -51,6 +51,16 @@
 /// The faults of one revision of the configuration that are logged; the others are only counted.
 const MAX_LOGGED_FAULTS: usize = 20;
 
+/// Why entries may be missing from a list although nobody has removed them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Gap {
+    None,
+    /// The store was unavailable until just now, so that they may have expired.
+    Outage,
+    /// The store came back from an older copy, which may also list what was removed since.
+    Restored,
+}
+
 /// Handles the changes of one kind of object.
 trait WatchHandler: Send + 'static {
     /// The feed through which readers pass on the changes, if any.
@@ -62,10 +72,10 @@
     /// Wakes the watch.
     fn notifier(&self) -> &Notify;
 
-    /// Handles a list of all objects; `outage` is set if the store was unavailable until just now.
+    /// Handles a list of all objects.
     ///
     /// `removed` are those that were known and are no longer there.
-    fn on_list(&mut self, objects: Vec<Object<Value>>, removed: Vec<String>, outage: bool);
+    fn on_list(&mut self, objects: Vec<Object<Value>>, removed: Vec<String>, gap: Gap);
 
     /// Handles a change.
     fn on_event(&mut self, event: Event<Value>, outage: bool);
@@ -313,14 +323,23 @@
         None => {
             let listing = store.list(handler.kind(), "").await?;
             log_unreadable(state, handler.kind(), &listing.unreadable);
-            let (newest, removed) = match H::FEED {
+            let (newest, removed, is_restored) = match H::FEED {
                 Some(feed) => {
                     let difference = state.feeds.on_list(feed, &listing, outage);
-                    (difference.newest, difference.removed)
+                    (
+                        difference.newest,
+                        difference.removed,
+                        difference.is_restored,
+                    )
                 }
-                None => (listing.version, Vec::new()),
+                None => (listing.version, Vec::new(), false),
+            };
+            let gap = match (is_restored, outage) {
+                (true, _) => Gap::Restored,
+                (false, true) => Gap::Outage,
+                (false, false) => Gap::None,
             };
-            handler.on_list(listing.objects, removed, outage);
+            handler.on_list(listing.objects, removed, gap);
             Ok(PollResult {
                 next: listing.version,
                 newest: (newest > Version::NONE).then_some(newest),
@@ -447,7 +466,7 @@
         &self.state.notifiers.configuration
     }
 
-    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, _outage: bool) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, _gap: Gap) {
         for object in objects {
             // Only the reads of the confirmer decide whether an invalid object ends the trust in the configuration.
             let _is_current =
@@ -518,14 +537,18 @@
         &self.state.notifiers.upstreams
     }
 
-    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, outage: bool) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, gap: Gap) {
         let listed: Vec<_> = objects
             .into_iter()
             .filter_map(|object| self.parse(&object.name, object.value))
             .collect();
-        info!(event = "upstreams", listed = listed.len(), outage);
+        info!(event = "upstreams", listed = listed.len(), ?gap);
         let now = self.state.now();
-        self.state.fleet().on_list(listed, outage, now);
+        match gap {
+            Gap::Restored => self.state.fleet().on_restored_list(listed, now),
+            Gap::Outage => self.state.fleet().on_list(listed, true, now),
+            Gap::None => self.state.fleet().on_list(listed, false, now),
+        }
         self.state.view().upstreams_listed = true;
         self.state.note_start();
     }
@@ -588,11 +611,16 @@
         &self.state.notifiers.drained
     }
 
-    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, _outage: bool) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, gap: Gap) {
         self.data_centres = objects
             .iter()
             .filter_map(|object| object.name.parse().ok())
             .collect();
+        if gap == Gap::Restored {
+            let now = self.state.now();
+            let mut fleet = self.state.fleet();
+            fleet.on_restored_drains(self.data_centres.clone(), now);
+        }
         self.apply();
     }
 
@@ -654,7 +682,7 @@
         &self.state.notifiers.nodes
     }
 
-    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, _outage: bool) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, _gap: Gap) {
         let members: BTreeMap<String, Member> = objects
             .into_iter()
             .filter_map(|object| {
@@ -763,7 +791,7 @@
     }
 
     // Other entries that the list lacks stay, as they may not be in the store yet.
-    fn on_list(&mut self, objects: Vec<Object<Value>>, removed: Vec<String>, _outage: bool) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, removed: Vec<String>, _gap: Gap) {
         for object in objects {
             self.apply(&object.name, object.value);
         }
