Keep nodes whose registration a restored store has lost until they register again

Cause: the first list of an era dropped all nodes that had registered since the copy, so that for up to a second nodes placed alone and divided common limits among too few.

Change: Roster::on_restored_list keeps them for 3 s; a registration or another list ends that.

Evidence: nodes_whose_registration_a_restored_store_has_lost_... is new; it does not compile on the code before, which had one way to take a list.

--- a/crates/catkinusher-core/src/roster/mod.rs
+++ b/crates/catkinusher-core/src/roster/mod.rs
@@ -20,6 +20,10 @@
 /// How long a node counts as present after it was heard; each one queries all readers in turn by then.
 const PRESENCE_TIME: Duration = Duration::from_secs(5);
 
+/// How long a node is kept whose registration a restored store has lost; it registers again as soon
+/// as it learns of that.
+const LOST_GRACE: Duration = Duration::from_secs(3);
+
 const SALT: Salt = Salt::new(0x726f_7374_6572);
 
 /// The delay before a silent node is probed for the first time.
@@ -81,6 +85,8 @@
     probe_at: Time,
     /// When it may carry duties, after it was silent.
     eligible_at: Time,
+    /// When it is removed unless it registers again.
+    leaves_at: Option<Time>,
 }
 
 impl Entry {
@@ -91,6 +97,7 @@
             heard_at: Time::ZERO,
             probe_at: Time::ZERO,
             eligible_at,
+            leaves_at: None,
         }
     }
 }
@@ -163,6 +170,7 @@
                 .remove(&member.address)
                 .unwrap_or_else(|| Entry::new(member.clone(), eligible_at));
             entry.member = member;
+            entry.leaves_at = None;
             entries.insert(entry.member.address, entry);
         }
         self.entries = entries;
@@ -170,6 +178,29 @@
         self.ranks.borrow_mut().clear();
     }
 
+    /// Replaces the registered nodes by the first list of a store that came back from an older
+    /// copy; those missing from it are kept until they have had the time to register again.
+    pub fn on_restored_list(&mut self, members: Vec<Member>, now: Time) {
+        let mut before = self.entries.clone();
+        self.on_list(members, now);
+        before.retain(|node, _| !self.entries.contains_key(node));
+        for entry in before.values_mut() {
+            entry.leaves_at.get_or_insert(now + LOST_GRACE);
+        }
+        self.entries.extend(before);
+    }
+
+    /// Removes the nodes that have not registered again in time, and returns whether there were any.
+    pub fn expire(&mut self, now: Time) -> bool {
+        let is_over = |entry: &Entry| entry.leaves_at.is_some_and(|at| now >= at);
+        let entries = self.entries.iter().filter(|(_, entry)| is_over(entry));
+        let lost: Vec<SocketAddr> = entries.map(|(node, _)| *node).collect();
+        for node in &lost {
+            self.on_left(*node);
+        }
+        !lost.is_empty()
+    }
+
     /// Adds a node, or replaces its registration.
     ///
     /// A fleet of hundreds that is restarted node by node costs each node two
@@ -179,8 +210,9 @@
         if node == self.own.address {
             return;
         }
-        let known = self.entries.get(&node);
-        if known.is_some_and(|entry| entry.member == member) {
+        let known = self.entries.get_mut(&node);
+        if let Some(entry) = known.filter(|entry| entry.member == member) {
+            entry.leaves_at = None;
             return;
         }
         self.unrank(node);
@@ -191,6 +223,7 @@
         }
         if let Some(entry) = self.entries.get_mut(&node) {
             entry.member = member;
+            entry.leaves_at = None;
         } else {
             self.entries
                 .insert(node, Entry::new(member, now + PROBATION));
--- a/crates/catkinusher-core/tests/roster.rs
+++ b/crates/catkinusher-core/tests/roster.rs
@@ -164,3 +164,17 @@
         assert_eq!(positions, (0..count).collect::<Vec<_>>());
     }
 }
+
+#[test]
+fn nodes_whose_registration_a_restored_store_has_lost_have_time_to_register_again() {
+    let mut roster = roster(0, 4);
+    roster.on_restored_list(vec![member(1)], ms(1000));
+    assert_eq!(roster.len(), 4, "none is dropped at once");
+    roster.on_joined(member(2), ms(1500));
+    assert!(!roster.expire(ms(3900)));
+    assert!(roster.expire(ms(4000)));
+    let mut peers = roster.peers();
+    peers.sort_unstable();
+    assert_eq!(peers, [address(1), address(2)]);
+    assert!(!roster.expire(ms(9000)));
+}
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -77,6 +77,9 @@
         for upstream in state.fleet().expire(now) {
             info!(event = "upstream", upstream = %upstream, outcome = "lapsed");
         }
+        if state.roster().expire(clock::boot_time()) {
+            state.on_roster_changed();
+        }
         let pause = state.confirmer().poll_interval();
         tokio::select! {
             () = state.timers.after(pause) => {}
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -238,6 +238,14 @@
         let _first = self.socket.set(socket);
     }
 
+    /// Tells the fleet the number of nodes, and the position of this one among them.
+    pub(super) fn on_roster_changed(&self) {
+        let position = self.roster().position();
+        let mut fleet = self.fleet();
+        fleet.on_node_count(position.count);
+        fleet.on_position(position);
+    }
+
     /// Records how this node is registered, as far as the list of nodes tells.
     pub(super) fn set_registration(&self, member: Option<&Member>) {
         *lock(&self.registration) = match member {
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -682,7 +682,7 @@
         &self.state.notifiers.nodes
     }
 
-    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, _gap: Gap) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, _removed: Vec<String>, gap: Gap) {
         let members: BTreeMap<String, Member> = objects
             .into_iter()
             .filter_map(|object| {
@@ -693,19 +693,21 @@
         info!(event = "peers", listed = members.len());
         self.state
             .set_registration(members.get(self.state.settings.node.as_str()));
-        self.addresses = members
+        let listed = members
             .iter()
-            .map(|(name, member)| (name.clone(), member.address))
-            .collect();
+            .map(|(name, member)| (name.clone(), member.address));
+        let now = clock::boot_time();
         let mut roster = self.state.roster();
         let is_first = !roster.is_listed();
-        roster.on_list(members.into_values().collect(), clock::boot_time());
-        let position = roster.position();
+        if gap == Gap::Restored {
+            self.addresses.extend(listed);
+            roster.on_restored_list(members.into_values().collect(), now);
+        } else {
+            self.addresses = listed.collect();
+            roster.on_list(members.into_values().collect(), now);
+        }
         drop(roster);
-        let mut fleet = self.state.fleet();
-        fleet.on_node_count(position.count);
-        fleet.on_position(position);
-        drop(fleet);
+        self.state.on_roster_changed();
         if is_first {
             // It tells which nodes are readers.
             self.state.notifiers.confirm.notify_one();
@@ -732,11 +734,8 @@
         {
             roster.on_left(previous);
         }
-        let position = roster.position();
         drop(roster);
-        let mut fleet = self.state.fleet();
-        fleet.on_node_count(position.count);
-        fleet.on_position(position);
+        self.state.on_roster_changed();
     }
 
     fn with_progress<T, F>(&self, act: F) -> Option<T>
