Keep quarantined content that a restored store has lost, and write it again

What callers would see: content that crashes upstreams let in again on all nodes at once, by the test; and sound content refused again for an hour on nodes that start later.

Cause: what the first list of an era lacks was released like an entry that an operator removes, and nobody wrote it again.

Change: by the first list of an era nothing is released; a node that collects reports writes the entries that the store has lost, and removes those whose content was answered since.

--- a/crates/catkinusher-core/src/poison/detector.rs
+++ b/crates/catkinusher-core/src/poison/detector.rs
@@ -195,7 +195,9 @@
         })
     }
 
-    fn is_cleared(&self, content: Fingerprint, now: Time) -> bool {
+    /// Whether a request with this content is known to have been answered.
+    #[must_use]
+    pub fn is_cleared(&self, content: Fingerprint, now: Time) -> bool {
         self.cleared.contains(content, now) || self.heard.contains(content, now)
     }
 
@@ -205,6 +207,17 @@
         self.refused_for(&[content], now).is_some()
     }
 
+    /// All content in quarantine.
+    #[must_use]
+    pub fn condemned(&self, now: Time) -> Vec<Condemned> {
+        let entries = self.quarantine.entries_for_peer(now).into_iter();
+        let condemned = entries.filter_map(|entry| {
+            let alike = self.guilty.get(&entry.fingerprint)?.clone();
+            Some(Condemned { entry, alike })
+        });
+        condemned.collect()
+    }
+
     /// Records a report of a node.
     pub fn on_report(&mut self, report: &CrashReport, now: Time) {
         let mut parts = report.parts.iter();
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -235,7 +235,7 @@
             let mut detector = self.state.detector();
             let condemned = detector.on_trial_crashed(trial.content(), now);
             drop(detector);
-            self.state.trials.order(Order::Crashed(condemned));
+            self.state.trials.order(Order::Publish(condemned));
         }
         trial.end();
     }
@@ -337,6 +337,34 @@
     }
 }
 
+/// Brings the entries of a store that came back from an older copy up to date, as a node that
+/// collects reports: those that it has lost, and those that it has again although their content
+/// was answered since.
+pub(super) fn on_restored<D>(state: &State<D>, listed: &BTreeSet<Fingerprint>) {
+    if !state.collectors().contains(&state.settings.peers) {
+        return;
+    }
+    let now = state.now();
+    let detector = state.detector();
+    let mut lost = detector.condemned(now);
+    lost.retain(|one| !listed.contains(&one.entry.fingerprint));
+    let released = listed.iter().filter(|one| detector.is_cleared(**one, now));
+    let released: Vec<Fingerprint> = released.copied().collect();
+    drop(detector);
+    info!(
+        event = "quarantine",
+        lost = lost.len(),
+        returned = released.len(),
+        outcome = "restored"
+    );
+    if !lost.is_empty() {
+        state.trials.order(Order::Publish(lost));
+    }
+    if !released.is_empty() {
+        state.trials.order(Order::Release(released));
+    }
+}
+
 /// Starts the tasks of a node that collects reports.
 pub(super) fn start<D, S>(state: &Arc<State<D>>, store: &Store<S::Form>, socket: &Arc<UdpSocket>)
 where
--- a/crates/catkinusherd/src/gateway/trials.rs
+++ b/crates/catkinusherd/src/gateway/trials.rs
@@ -47,8 +47,8 @@
     },
     /// Release content that was answered.
     Release(Vec<Fingerprint>),
-    /// Record that a trial of this content crashed its upstream.
-    Crashed(Vec<Condemned>),
+    /// Tell all nodes and the store what is condemned.
+    Publish(Vec<Condemned>),
 }
 
 /// The trials of this node.
@@ -245,7 +245,7 @@
                         quarantine::remove::<D, S>(&state, &store, &content),
                     );
                 }
-                Order::Crashed(condemned) => {
+                Order::Publish(condemned) => {
                     for one in condemned {
                         quarantine::publish::<D, S>(&state, &store, &socket, one);
                     }
--- a/crates/catkinusherd/src/gateway/watch.rs
+++ b/crates/catkinusherd/src/gateway/watch.rs
@@ -790,12 +790,18 @@
     }
 
     // Other entries that the list lacks stay, as they may not be in the store yet.
-    fn on_list(&mut self, objects: Vec<Object<Value>>, removed: Vec<String>, _gap: Gap) {
+    fn on_list(&mut self, objects: Vec<Object<Value>>, removed: Vec<String>, gap: Gap) {
+        let names = objects.iter().filter_map(|object| object.name.parse().ok());
+        let listed: BTreeSet<Fingerprint> = names.collect();
         for object in objects {
             self.apply(&object.name, object.value);
         }
-        for name in removed {
-            self.remove(&name);
+        if gap == Gap::Restored {
+            quarantine::on_restored(&self.state, &listed);
+        } else {
+            for name in removed {
+                self.remove(&name);
+            }
         }
         self.state.view().quarantine_listed = true;
     }
