Do not confirm a configuration by a store that has lost a newer one

What callers saw: by the test, a node that started after the store had come back served some 2,300 requests with a key that was removed, until the operator had written the removal again.

Cause: a node's own read outweighed what its peers had told it, as a store that loses nothing cannot show less than a peer had before the read.

Change: a read that shows an older revision than a peer had reported before it began confirms nothing, and takes back what answers of the same era had confirmed; the node then waits for the revision, and says that it cannot confirm. A peer's report counts for 2 intervals.

The search with random messages in core asserts that no read of a store that loses nothing is refused by this.

--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -58,6 +58,9 @@
 /// For as long its lack of a confirmation does not show that it cannot read the store.
 const START_FRACTION: f64 = 0.4;
 
+/// The multiple of the interval for which a revision that a peer has reported counts as known to it.
+const REPORT_FACTOR: u32 = 2;
+
 /// What a node that has just started fetches: whichever revision the store has.
 pub const ANY_REVISION: u64 = 0;
 
@@ -162,6 +165,12 @@
     process: Incarnation,
     interval: Duration,
     freshness: Freshness,
+    /// The era of the store that gave the last confirmation.
+    era: Era,
+    /// The newest revision that a peer has reported lately, and until when that counts.
+    reported: Option<(u64, Time)>,
+    /// The revision that a peer had when the last read began.
+    read_floor: u64,
     reading: bool,
     /// The revision that the fetch in progress is to bring.
     fetching: Option<u64>,
@@ -201,6 +210,9 @@
             process,
             interval,
             freshness: Freshness::default(),
+            era: Era::NONE,
+            reported: None,
+            read_floor: 0,
             reading: false,
             fetching: None,
             behind: None,
@@ -303,6 +315,8 @@
     fn read(&mut self, now: Time) -> Action {
         self.reading = true;
         self.must_read = false;
+        let reported = self.reported.filter(|(_, until)| now < *until);
+        self.read_floor = reported.map_or(0, |(revision, _)| revision);
         self.on_call(now);
         Action::Read
     }
@@ -427,12 +441,33 @@
         self.interval.mul_f64(LATE_QUERY_FRACTION)
     }
 
-    /// Records a successful read that began at `began`, at a node whose configuration now has `revision`.
-    pub fn on_read(&mut self, began: Time, revision: u64) {
+    /// Records a successful read that began at `began`, in an era of the store, at a node whose
+    /// configuration now has `revision`, and returns whether it confirms that.
+    ///
+    /// A store that came back from an older copy may show an older revision than a peer had before
+    /// the read. That confirms nothing, nor did earlier answers of the same era. The operators
+    /// write again what was lost.
+    pub fn on_read(
+        &mut self,
+        began: Time,
+        revision: u64,
+        era: Era,
+        roster: &Roster,
+        now: Time,
+    ) -> bool {
+        if revision < self.read_floor {
+            if self.era == era && era != Era::NONE {
+                self.freshness = Freshness::default();
+            }
+            self.on_failure(roster, now);
+            return false;
+        }
+        self.era = era;
         self.freshness.on_confirmed(began);
         self.reading = false;
         self.failures = 0;
         self.on_revision(revision);
+        true
     }
 
     /// Records the end of a fetch, at a node whose configuration now has `revision`, and returns
@@ -580,6 +615,11 @@
         if self.failures > 0 && !is_calling && self.is_outage_over() {
             self.end_pause();
         }
+        let reported = self.reported.filter(|(_, until)| now < *until);
+        if reported.is_none_or(|(newest, _)| newest <= reply.known.revision) {
+            let until = now + self.interval * REPORT_FACTOR;
+            self.reported = Some((reply.known.revision, until));
+        }
         if reply.known.revision > revision {
             self.behind = Some(reply.known.revision);
             if let Some(confirmed_at) = confirmed_at {
@@ -594,6 +634,7 @@
         let Some(confirmed_at) = confirmed_at else {
             return ReplyOutcome::Ignored;
         };
+        self.era = self.era.max(reply.known.era());
         self.freshness.on_confirmed(confirmed_at);
         ReplyOutcome::Confirmed
     }
--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -136,7 +136,12 @@
                 }
                 Message::Read(node, began, Some(revision)) if alive(node) => {
                     self.known[node] = self.known[node].max(revision);
-                    self.nodes[node].on_read(began, self.known[node]);
+                    let (known, roster) = (self.known[node], &self.rosters[node]);
+                    let confirms = self.nodes[node].on_read(began, known, Era::NONE, roster, at);
+                    assert!(
+                        confirms,
+                        "a store that loses nothing shows what a peer had before"
+                    );
                 }
                 Message::Fetched(node, Some(revision)) if alive(node) => {
                     self.known[node] = self.known[node].max(revision);
@@ -352,11 +357,11 @@
         })
     };
     let first = query(&mut node, &mut roster, 0).unwrap();
-    node.on_read(ms(0), 7);
+    assert!(node.on_read(ms(0), 7, Era::NONE, &roster, ms(0)));
     assert!(node.on_fetch(7));
     roster.on_heard(address(1), ms(1000));
     let second = query(&mut node, &mut roster, 1000).unwrap();
-    node.on_read(ms(1000), 7);
+    assert!(node.on_read(ms(1000), 7, Era::NONE, &roster, ms(1000)));
     let reply = |serial, revision| ConfirmReply {
         serial,
         age: Some(100),
@@ -557,7 +562,7 @@
     assert!(!node.on_fetch(7), "the answer of the store was old");
     assert_eq!(node.freshness().age(ms(30)), None);
     assert_eq!(node.poll(&mut roster, ms(31)), [Action::Read]);
-    node.on_read(ms(31), 8);
+    assert!(node.on_read(ms(31), 8, Era::NONE, &roster, ms(40)));
 
     let mut node = Confirmer::new(Incarnation::new(1), INTERVAL);
     let _actions = node.poll(&mut roster, ms(0));
@@ -583,7 +588,7 @@
     let reply = node.on_query(address(90), query, StorePosition::default(), ms(50));
     assert_eq!((reply.age, reply.failing), (None, false), "it may succeed");
     assert!(node.on_fetch(7));
-    node.on_read(ms(40), 7);
+    assert!(node.on_read(ms(40), 7, Era::NONE, &roster, ms(50)));
     assert_eq!(
         node.poll(&mut roster, ms(60)),
         [Action::Reply(address(90), query)]
@@ -642,3 +647,40 @@
     );
     assert!(!progress.is_behind());
 }
+
+#[test]
+fn a_read_that_shows_an_older_revision_than_a_peer_had_before_confirms_nothing() {
+    let ms = Time::from_millis;
+    let own = node_that(true, 92);
+    let mut node = Confirmer::new(Incarnation::new(1), INTERVAL);
+    let mut roster = roster(own, 92);
+    let era = Era::new(2);
+    let actions = node.poll(&mut roster, ms(0));
+    let serial = actions.iter().find_map(|action| match action {
+        Action::Ask(_, serial) => Some(*serial),
+        _ => None,
+    });
+    assert!(
+        node.on_read(ms(0), 7, era, &roster, ms(20)),
+        "no peer has told of a newer one"
+    );
+    let outcome = node.on_reply(&proof(serial.unwrap(), 8, 10), 7, ms(30));
+    assert_eq!(outcome, ReplyOutcome::Behind);
+    assert!(!node.on_fetch(7));
+    assert!(node.poll(&mut roster, ms(40)).contains(&Action::Read));
+    assert!(!node.on_read(ms(40), 7, era, &roster, ms(50)));
+    assert_eq!(
+        node.freshness().age(ms(50)),
+        None,
+        "the first read proves no more than this one"
+    );
+    assert!(
+        node.reply(serial.unwrap(), StorePosition::default(), ms(60))
+            .failing
+    );
+    assert!(node.on_fetch(8), "written again");
+    assert!(
+        node.freshness().age(ms(70)).is_some(),
+        "by the proof of the peer"
+    );
+}
--- a/crates/catkinusherd/src/gateway/confirm.rs
+++ b/crates/catkinusherd/src/gateway/confirm.rs
@@ -102,9 +102,13 @@
             let is_current = object
                 .is_none_or(|one| watch::apply_configuration(state, schema, &one.name, one.value));
             if is_current {
-                state.metrics.on_call("confirm", "answered");
                 let revision = state.view().position().revision;
-                on_confirmed(state, |confirmer| confirmer.on_read(began, revision));
+                let now = clock::boot_time();
+                let confirms = on_confirmed(state, |confirmer| {
+                    confirmer.on_read(began, revision, store.era(), &state.roster(), now)
+                });
+                let result = if confirms { "answered" } else { "older" };
+                state.metrics.on_call("confirm", result);
             } else {
                 state.metrics.on_call("confirm", "bad");
                 let mut confirmer = state.confirmer();
