Hold trials back for a lease after the store came back from an older copy

Cause: the record that lets one trial run at a time may be among what the store has lost, so a second one could begin beside it and crash another upstream (BUDGET). Found by reading; not seen.

Change: TrialWatch holds all trials back for the lease of one from when the node hears of the new era, also if that is between its two calls. Evidence: unit test only.

--- a/crates/catkinusher-core/src/poison/trial.rs
+++ b/crates/catkinusher-core/src/poison/trial.rs
@@ -77,9 +77,24 @@
 #[derive(Debug, Clone, Default)]
 pub struct TrialWatch {
     records: BTreeMap<Fingerprint, Seen>,
+    /// Until when a record may have been lost whose trial still runs.
+    held_until: Time,
 }
 
 impl TrialWatch {
+    /// Holds back all trials for the lease of one, as the store came back from an older copy.
+    ///
+    /// It may have lost the record of a trial that runs.
+    pub fn on_restored(&mut self, now: Time) {
+        self.held_until = now + LEASE_TIME;
+    }
+
+    /// Whether no trial may begin, as the store came back just now.
+    #[must_use]
+    pub fn is_held(&self, now: Time) -> bool {
+        now < self.held_until
+    }
+
     /// Whether this node should try now to begin a trial, which it may not do at each request.
     pub fn is_due(&mut self, record: Fingerprint, now: Time) -> bool {
         let seen = self.records.entry(record).or_insert(Seen {
@@ -89,7 +104,7 @@
             pause: MIN_PAUSE,
             is_exhausted: false,
         });
-        if now < seen.next_at {
+        if now < seen.next_at || now < self.held_until {
             return false;
         }
         seen.next_at = now + seen.pause;
--- a/crates/catkinusher-core/tests/detector.rs
+++ b/crates/catkinusher-core/tests/detector.rs
@@ -692,6 +692,15 @@
     assert!(watch.may_begin(name, &fourth, version(8), ms(9100)));
 }
 
+#[test]
+fn no_trial_begins_while_a_restored_store_may_have_lost_the_record_of_one() {
+    let name = part("record");
+    let mut watch = TrialWatch::default();
+    watch.on_restored(ms(1000));
+    assert!(watch.is_held(ms(4900)) && !watch.is_due(name, ms(4900)));
+    assert!(!watch.is_held(ms(5000)) && watch.is_due(name, ms(5000)));
+}
+
 #[test]
 fn nodes_that_were_lost_for_good_do_not_keep_content_from_being_condemned() {
     // Four of seven nodes were removed, and a deadly part crashed upstreams without end (BUDGET).
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -277,6 +277,7 @@
         let before = Era::new(self.era.fetch_max(era.get(), Ordering::Relaxed));
         if before != Era::NONE && before < era {
             info!(event = "store", outcome = "restored", %era, %before);
+            self.trials.on_restored(self.now());
             self.notifiers.notify_watches();
         }
     }
--- a/crates/catkinusherd/src/gateway/trials.rs
+++ b/crates/catkinusherd/src/gateway/trials.rs
@@ -11,6 +11,7 @@
 use catkinusher_core::fingerprint::Fingerprint;
 use catkinusher_core::id::Serial;
 use catkinusher_core::poison::{Condemned, TrialRecord, TrialWatch};
+use catkinusher_core::time::Time;
 use catkinusher_platform::{Error, Store};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
@@ -84,6 +85,11 @@
         receiver.unwrap_or_else(PoisonError::into_inner).take()
     }
 
+    /// Holds back trials, as the store came back from an older copy.
+    pub(super) fn on_restored(&self, now: Time) {
+        self.watch().on_restored(now);
+    }
+
     fn watch(&self) -> MutexGuard<'_, TrialWatch> {
         self.watch.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -286,7 +292,13 @@
         }
         Err(error) => Err(error),
     };
+    state.on_era(store.era());
     match written {
+        // The store may have come back between the two calls.
+        Ok(_version) if state.trials.watch().is_held(state.now()) => {
+            end::<D, S>(state, store, record, trial, true).await;
+            false
+        }
         Ok(_version) => true,
         Err(Error::Conflict { .. }) => false,
         Err(error) => {
