Tell a node that reaches no upstream from upstreams that are down

Cause: a node learned of each upstream one by one that it does not answer, and the log and metrics did not tell its own cut from faults of upstreams (hypothesis 1 in docs/incidents/stranded-nodes.md).

Change: core::reach counts upstreams to which no connection could be opened since one was; three show that the node is cut off. Lines reach, cut-off and regained; gauge catkinusher_cut_off. A node that finds itself cut off forgets the backoff of upstreams that it has counted against them.

--- a/crates/catkinusher-core/src/fleet/health.rs
+++ b/crates/catkinusher-core/src/fleet/health.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Ends the backoff after failures to reach the upstream.
+    pub(super) const fn forget_unreachable(&mut self) {
+        self.reach_failures = 0;
+        self.backoff_until = Time::ZERO;
+    }
+
     /// Adds the requests that succeeded and failed since the last report to the moving average.
     pub(super) fn on_outcomes(&mut self, succeeded: u32, failed: u32, now: Time) {
         let count = succeeded.saturating_add(failed);
--- a/crates/catkinusher-core/src/fleet/mod.rs
+++ b/crates/catkinusher-core/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 pub use self::upstream::Upstream;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -469,6 +470,19 @@
         }
     }
 
+    /// Forgets that upstreams could not be reached, as the link of this node was at fault.
+    pub fn forget_unreachable(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.health.forget_unreachable();
+        }
+    }
+
+    /// The addresses of the upstreams that take requests.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        let open = self.entries.values().filter(|entry| self.is_open(entry));
+        open.map(|entry| entry.upstream.address)
+    }
+
     /// Records that an upstream has said in an answer that it is leaving.
     ///
     /// Its entry in the store may say so later, or never if the store is away.
--- a/crates/catkinusher-core/src/lib.rs
+++ b/crates/catkinusher-core/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod process;
 pub mod progress;
 pub mod ramp;
+pub mod reach;
 pub mod rendezvous;
 pub mod retry;
 pub mod roster;
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -276,9 +276,8 @@
         // then fails without proof that it did not run, so requests that must run only
         // once get a new connection.
         let fresh = self.route.repeat == Repeat::Once;
-        let now = self.state.now();
         self.enter(Stage::Connection);
-        let connection = self.state.pool.get(address, fresh, now).await;
+        let connection = self.state.connect(address, fresh).await;
         let Connection { mut sender, fresh } = connection.map_err(AttemptError::Unsent)?;
         let left = self.time_left();
         if left < MIN_ATTEMPT_TIME || self.is_too_late() {
--- a/crates/catkinusherd/src/gateway/metrics.rs
+++ b/crates/catkinusherd/src/gateway/metrics.rs
@@ -49,6 +49,7 @@
     pub(super) upstreams: usize,
     pub(super) nodes: usize,
     pub(super) open_requests: u64,
+    pub(super) is_cut_off: bool,
     pub(super) quarantined: usize,
     pub(super) held_bytes: u64,
 }
@@ -68,6 +69,7 @@
     upstreams: Gauge,
     nodes: Gauge,
     open_requests: Gauge,
+    cut_off: Gauge,
     quarantined: Gauge,
     held_bytes: Gauge,
     memory_refusals: Counter,
@@ -89,6 +91,7 @@
             upstreams: Gauge::default(),
             nodes: Gauge::default(),
             open_requests: Gauge::default(),
+            cut_off: Gauge::default(),
             quarantined: Gauge::default(),
             held_bytes: Gauge::default(),
             memory_refusals: Counter::default(),
@@ -132,6 +135,8 @@
             "Requests under way",
             self.open_requests.clone(),
         );
+        let help = "Whether this node reaches no upstream";
+        registry.register("cut_off", help, self.cut_off.clone());
         let help = "Contents that crash upstreams and are refused";
         registry.register("quarantined", help, self.quarantined.clone());
         let help = "Bytes held for callers and upstreams";
@@ -186,6 +191,7 @@
         self.upstreams.set(whole(values.upstreams as u64));
         self.nodes.set(whole(values.nodes as u64));
         self.open_requests.set(whole(values.open_requests));
+        self.cut_off.set(values.is_cut_off.into());
         self.quarantined.set(whole(values.quarantined as u64));
         self.held_bytes.set(whole(values.held_bytes));
         self.log_dropped.set(whole(log::dropped_lines()));
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod placing;
 mod pool;
 mod quarantine;
+mod reach;
 mod relay;
 mod reserve;
 mod starting;
@@ -110,6 +111,7 @@
         confirm::start(&self.state, &self.store, &self.schema, &socket);
         watch::start(&self.state, &self.store, &self.schema);
         quarantine::start::<D, S>(&self.state, &self.store, &socket);
+        reach::start(&self.state);
         let serving = tokio::spawn(front::serve(Arc::clone(&self.state), listener));
         stop::drain_on_signal(&self.state, serving).await?;
         peers::unregister(&self.state, &self.store, &self.schema).await;
--- a/crates/catkinusherd/src/gateway/pool.rs
+++ b/crates/catkinusherd/src/gateway/pool.rs
@@ -133,11 +133,20 @@
     }
 }
 
+/// Opens a connection to an upstream or a peer.
+///
+/// # Errors
+///
+/// Why it could not be opened.
+pub(super) async fn open(address: SocketAddr) -> Result<TcpStream, String> {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(stream) => stream.map_err(|error| error.to_string()),
+        Err(_elapsed) => Err("connection attempt timed out".to_owned()),
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
-    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(stream) => stream.map_err(|error| error.to_string())?,
-        Err(_elapsed) => return Err("connection attempt timed out".to_owned()),
-    };
+    let stream = open(address).await?;
     set_socket_options(&stream).map_err(|error| error.to_string())?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(64 * 1024)
--- a/crates/catkinusherd/src/gateway/reserve.rs
+++ b/crates/catkinusherd/src/gateway/reserve.rs
@@ -146,7 +146,7 @@
             .reservation_request(command, &lease.upstream)
             .map(Full::new);
         let exchange = async {
-            let connection = self.pool.get(lease.address, false, self.now()).await?;
+            let connection = self.connect(lease.address, false).await?;
             let mut sender = connection.sender;
             let answer = sender.send_request(request).await;
             let answer = answer.map_err(|error| error.to_string())?;
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use catkinusher_core::object::Era;
 use catkinusher_core::placer::{Asker, Placer};
 use catkinusher_core::poison::{self, Detector};
+use catkinusher_core::reach::Reach;
 use catkinusher_core::rendezvous::Salt;
 use catkinusher_core::retry::{self, Budget};
 use catkinusher_core::roster::{Member, Roster};
@@ -87,6 +88,8 @@
     pub(super) placing: Notify,
     /// An ask has found that a node does not answer.
     pub(super) silent: Notify,
+    /// An upstream could not be reached.
+    pub(super) reach: Notify,
 }
 
 impl Notifiers {
@@ -150,6 +153,7 @@
     confirmer: Mutex<Confirmer>,
     view: Mutex<StoreView>,
     fleet: Mutex<Fleet>,
+    reach: Mutex<Reach>,
     budgets: Mutex<BTreeMap<ServiceId, Budget>>,
     detector: Mutex<Detector>,
     pub(super) memory: Memory,
@@ -192,6 +196,7 @@
             confirmer: Mutex::new(confirmer),
             view: Mutex::default(),
             fleet: Mutex::new(fleet),
+            reach: Mutex::default(),
             budgets: Mutex::default(),
             detector: Mutex::new(Detector::new(incarnation, poison::Policy::default())),
             metrics: Metrics::default(),
@@ -208,6 +213,10 @@
         lock(&self.fleet)
     }
 
+    pub(super) fn reach(&self) -> MutexGuard<'_, Reach> {
+        lock(&self.reach)
+    }
+
     pub(super) fn detector(&self) -> MutexGuard<'_, Detector> {
         lock(&self.detector)
     }
@@ -387,6 +396,7 @@
             upstreams: fleet.len(),
             nodes: self.roster().len(),
             open_requests: self.open_requests.count() as u64,
+            is_cut_off: self.is_cut_off(),
             quarantined: self.detector().quarantined(),
             held_bytes: self.memory.held(),
         };
