Let a peer serve the requests of a node that reaches no upstream

Cause: the node had no other way than its own links, and its callers cannot choose another node.

Ruled out: reporting unready alone. Open channels stay with their node, and once fewer than half of a data centre are in rotation the platform uses all of them again.

Change: while a node is cut off, it passes each request to a peer over a connection to the peer's internal address (gateway::detour). The peer serves it like one of its own callers: it checks the key, places, retries and counts. A request takes one detour; a peer that cannot serve it for a reason of its own (cut off itself, stopping, without configuration or memory) says so in a marked refusal and another is tried, up to four. Nothing is sent between nodes while no node is cut off.

--- a/crates/catkinusher-core/src/roster/mod.rs
+++ b/crates/catkinusher-core/src/roster/mod.rs
@@ -52,6 +52,17 @@
     pub data_centre: Option<DataCentreId>,
 }
 
+/// Another node, as one that may serve a request for this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Peer {
+    /// The address for messages and requests of other nodes.
+    pub address: SocketAddr,
+    /// The processor share in hundredths of a core.
+    pub capacity: u32,
+    /// Whether it is in the data centre of this node.
+    pub is_near: bool,
+}
+
 /// A duty of a few nodes for all others.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Duty {
@@ -249,6 +260,19 @@
         self.entries.keys().copied().collect()
     }
 
+    /// The other nodes that answer, as far as this one knows.
+    #[must_use]
+    pub fn reachable(&self) -> Vec<Peer> {
+        let entries = self.entries.values().filter(|entry| entry.silences == 0);
+        entries
+            .map(|entry| Peer {
+                address: entry.member.address,
+                capacity: entry.member.capacity,
+                is_near: entry.member.data_centre == self.own.data_centre,
+            })
+            .collect()
+    }
+
     /// The number of other nodes that were heard lately.
     ///
     /// A node that was lost for good stays registered, so the number of registered nodes tells
--- a/crates/catkinusherd/src/gateway/attempt/judge.rs
+++ b/crates/catkinusherd/src/gateway/attempt/judge.rs
@@ -10,7 +10,7 @@
 use catkinusher_core::units::Span;
 use tracing::info;
 
-use super::MIN_ATTEMPT_TIME;
+use super::{MIN_ATTEMPT_TIME, Source};
 use crate::gateway::dialect::Dialect;
 use crate::gateway::handle::Job;
 
@@ -39,15 +39,16 @@
 {
     /// The number of attempts: the upstreams that the request was sent to, or more
     /// if one of them received it repeatedly.
-    fn attempts(&self) -> u32 {
+    pub(in crate::gateway) fn attempts(&self) -> u32 {
         let upstreams = self.sent_to.len() as u32;
-        upstreams.max(self.sends.saturating_sub(EXTRA_SENDS))
+        self.earlier_attempts + upstreams.max(self.sends.saturating_sub(EXTRA_SENDS))
     }
 
     /// How long to wait for the head of a response before another upstream is tried.
     pub(super) fn response_timeout(&self) -> Duration {
         let left = self.time_left();
-        if !self.is_repeatable() || self.sent_to.len() >= self.route.attempts as usize {
+        let attempts = self.earlier_attempts + self.sent_to.len() as u32;
+        if !self.is_repeatable() || attempts >= self.route.attempts {
             return left;
         }
         let objective = self.route.objective;
@@ -86,6 +87,28 @@
         );
     }
 
+    /// Records that the source of an answer failed this request.
+    pub(in crate::gateway) fn on_source_fault(
+        &mut self,
+        source: &Source,
+        address: SocketAddr,
+        fault: Fault,
+        detail: &str,
+    ) {
+        match source {
+            Source::Upstream(upstream) => self.record_fault(upstream, address, fault, detail),
+            Source::Peer => self.on_peer_fault(address, fault, detail),
+        }
+    }
+
+    /// Records that the source of an answer has served this request.
+    pub(in crate::gateway) fn on_source_success(&self, source: &Source) {
+        if let Source::Upstream(upstream) = source {
+            let now = self.state.now();
+            self.state.fleet().on_success(upstream, now);
+        }
+    }
+
     /// Takes a retry from the service's budget for a request that has provably not run.
     pub(super) fn take_retry_budget(&self) -> bool {
         self.state
@@ -98,6 +121,22 @@
     ///
     /// Why the request must not be retried.
     pub(in crate::gateway) fn authorize_retry(&self, upstream: &UpstreamId) -> Result<(), Reason> {
+        self.decide_retry(upstream.as_str())
+    }
+
+    /// As [`Self::authorize_retry`], after the source of an answer has failed.
+    ///
+    /// # Errors
+    ///
+    /// Why the request must not be retried.
+    pub(in crate::gateway) fn authorize_retry_after(&self, source: &Source) -> Result<(), Reason> {
+        match source {
+            Source::Upstream(upstream) => self.authorize_retry(upstream),
+            Source::Peer => self.decide_retry("peer"),
+        }
+    }
+
+    fn decide_retry(&self, failed: &str) -> Result<(), Reason> {
         let failure = Failure {
             idempotent: self.is_repeatable(),
             outcome: self.history.outcome(),
@@ -123,7 +162,7 @@
                 info!(
                     event = "give-up",
                     request = self.request_id(),
-                    upstream = %upstream,
+                    upstream = failed,
                     reason = ?reason,
                     sends = self.sends,
                 );
--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -30,7 +30,7 @@
 use crate::gateway::state::State;
 
 /// The shortest remaining time for which an attempt is started: a network hop and a short forward pass.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
+pub(in crate::gateway) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
 
 /// The number of attempts that may fail before anything ran, on unreachable
 /// or moved upstreams or for lack of memory, before a request is refused.
@@ -54,6 +54,15 @@
 }
 
 impl<D> AttemptResources<D> {
+    /// Those of an attempt whose load another node counts.
+    pub(in crate::gateway) const fn none(state: Arc<State<D>>) -> Self {
+        Self {
+            state,
+            works: Vec::new(),
+            reservations: Vec::new(),
+        }
+    }
+
     /// Records that the prefill is done.
     pub(in crate::gateway) fn on_read(&self) {
         let mut fleet = self.state.fleet();
@@ -76,6 +85,15 @@
     }
 }
 
+/// Who answers an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(in crate::gateway) enum Source {
+    /// The upstream to which it was sent.
+    Upstream(UpstreamId),
+    /// A peer that sends it on, as this node is cut off from all upstreams.
+    Peer,
+}
+
 /// An attempt whose response head has arrived.
 #[derive(Debug)]
 pub(in crate::gateway) struct ActiveAttempt<D>
@@ -83,7 +101,7 @@
     D: Dialect,
 {
     pub(in crate::gateway) response: Response<Incoming>,
-    pub(in crate::gateway) upstream: UpstreamId,
+    pub(in crate::gateway) source: Source,
     pub(in crate::gateway) address: SocketAddr,
     pub(in crate::gateway) sender: SendRequest<Full<Bytes>>,
     pub(in crate::gateway) resources: AttemptResources<D>,
@@ -195,6 +213,14 @@
             if self.is_too_late() {
                 return Err(self.stop_refusal());
             }
+            if self.state.is_cut_off() {
+                if self.is_detour {
+                    return Err(self.no_upstream_refusal(NO_UPSTREAM_RETRY_AFTER));
+                }
+                if let Some(attempt) = self.detour(resume).await? {
+                    return Ok(attempt);
+                }
+            }
             self.wait_for_permission().await?;
             let Placed {
                 placement,
@@ -345,7 +371,7 @@
                 self.enter(Stage::Answer);
                 Ok(ActiveAttempt {
                     response,
-                    upstream: upstream.clone(),
+                    source: Source::Upstream(upstream.clone()),
                     address,
                     sender,
                     resources,
--- a/crates/catkinusherd/src/gateway/dialect.rs
+++ b/crates/catkinusherd/src/gateway/dialect.rs
@@ -133,6 +133,10 @@
     /// Builds the headers for an upstream from those of the caller.
     fn upstream_headers(&self, headers: &HeaderMap, dispatch: &Dispatch<'_>) -> HeaderMap;
 
+    /// Builds the headers for a peer that sends the request on, from those of the caller, with the
+    /// time that is left and the ID of the last event that the caller received.
+    fn peer_headers(&self, headers: &HeaderMap, left: Duration, resume: Option<u64>) -> HeaderMap;
+
     /// Builds the request that sends a reservation command to `upstream`.
     fn reservation_request(
         &self,
--- a/crates/catkinusherd/src/gateway/front.rs
+++ b/crates/catkinusherd/src/gateway/front.rs
@@ -29,8 +29,17 @@
 /// The smallest head buffer that the HTTP library accepts, in bytes.
 const MIN_HEAD_BUFFER: usize = 8192;
 
-/// Serves callers until new connections are no longer accepted, then waits for the open ones to end.
-pub(super) async fn serve<D>(state: Arc<State<D>>, listener: TcpListener)
+/// Who sends the requests on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// Callers.
+    Callers,
+    /// Nodes that are cut off from all upstreams, for their callers.
+    Peers,
+}
+
+/// Serves callers or peers until new connections are no longer accepted, then waits for the open ones to end.
+pub(super) async fn serve<D>(state: Arc<State<D>>, listener: TcpListener, origin: Origin)
 where
     D: Dialect,
 {
@@ -42,7 +51,7 @@
         };
         match accepted {
             Ok((stream, from)) => {
-                tasks.spawn(serve_connection(Arc::clone(&state), stream, from));
+                tasks.spawn(serve_connection(Arc::clone(&state), stream, from, origin));
             }
             Err(error) => {
                 warn!("front: cannot accept a connection: {error}");
@@ -55,8 +64,12 @@
     tasks.wait().await;
 }
 
-async fn serve_connection<D>(state: Arc<State<D>>, stream: TcpStream, from: SocketAddr)
-where
+async fn serve_connection<D>(
+    state: Arc<State<D>>,
+    stream: TcpStream,
+    from: SocketAddr,
+    origin: Origin,
+) where
     D: Dialect,
 {
     if let Err(error) = stream.set_nodelay(true) {
@@ -82,7 +95,8 @@
         async move {
             // After an ambiguous head, the start of the next request is unknown.
             let is_ambiguous = framing_result.is_err();
-            let mut response = handle::handle(Arc::clone(&state), request, framing_result).await;
+            let serving = handle::handle(Arc::clone(&state), request, framing_result, origin);
+            let mut response = serving.await;
             if is_ambiguous || state.stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -19,9 +19,11 @@
 use tracing::info;
 
 use super::answer::{self, AnswerBody};
-use super::attempt::ActiveAttempt;
+use super::attempt::{ActiveAttempt, Source};
 use super::body::{self, AnswerError};
+use super::detour;
 use super::dialect::{Ask, Dialect};
+use super::front::Origin;
 use super::open::{OpenRequest, Stage};
 use super::relay;
 use super::starting;
@@ -63,6 +65,10 @@
     pub(super) sent_to: BTreeSet<UpstreamId>,
     /// How often the request was sent.
     pub(super) sends: u32,
+    /// Whether a peer sent it, which is cut off from all upstreams.
+    pub(super) is_detour: bool,
+    /// The attempts that the peer made before.
+    pub(super) earlier_attempts: u32,
     pub(super) avoid: Vec<UpstreamId>,
     /// The fingerprints of what other requests may have in common with it.
     pub(super) content: Vec<Fingerprint>,
@@ -141,6 +147,7 @@
     state: Arc<State<D>>,
     request: Request<Incoming>,
     framed: Result<(), Refusal>,
+    origin: Origin,
 ) -> Response<AnswerBody>
 where
     D: Dialect,
@@ -148,26 +155,42 @@
     let received = state.now();
     let (head, body) = request.into_parts();
     let admitted = match framed {
-        Ok(()) => admit(&state, head, body, received).await,
+        Ok(()) => admit(&state, head, body, received, origin).await,
         Err(refusal) => Err((refusal, String::new())),
     };
-    let job = match admitted {
-        Ok(job) => job,
+    let served = match admitted {
+        Ok(job) => serve(job).await,
         Err((refusal, id)) => {
             log_refusal(&state, "unknown", &id, &refusal, received);
-            return answer::refusal(&state.dialect, &refusal);
+            Err(refusal)
         }
     };
-    serve(job).await
+    let is_detour = origin == Origin::Peers;
+    match served {
+        Ok(mut response) => {
+            if is_detour {
+                detour::remove_mark(response.headers_mut());
+            }
+            response
+        }
+        Err(refusal) => {
+            let mut response = answer::refusal(&state.dialect, &refusal);
+            if is_detour {
+                detour::mark_refusal(&state, &refusal, response.headers_mut());
+            }
+            response
+        }
+    }
 }
 
 /// Resolves the route, customer and service of a request, checks whether it may
 /// be served, and reads its body.
 async fn admit<D>(
     state: &Arc<State<D>>,
-    head: Parts,
+    mut head: Parts,
     body: Incoming,
     received: Time,
+    origin: Origin,
 ) -> Result<Job<D>, (Refusal, String)>
 where
     D: Dialect,
@@ -211,6 +234,12 @@
         .pick_service(&mut rand::rng())
         .ok_or_else(|| fail(no_configuration()))?
         .clone();
+    let is_detour = origin == Origin::Peers;
+    let earlier_attempts = if is_detour {
+        detour::take_attempts(&mut head.headers)
+    } else {
+        0
+    };
     let time = ask
         .patience
         .map_or(route.timeout, |patience| patience.min(route.timeout));
@@ -226,6 +255,8 @@
         history: AttemptHistory::new(),
         sent_to: BTreeSet::new(),
         sends: 0,
+        is_detour,
+        earlier_attempts,
         avoid: Vec::new(),
         content: Vec::new(),
         trial: None,
@@ -236,20 +267,28 @@
         ask,
         head,
     };
-    state.with_budget(&job.service, |policy, budget| budget.on_new_request(policy));
+    // A detour has earned its share of retries at the node of its caller.
+    if !is_detour {
+        state.with_budget(&job.service, |policy, budget| budget.on_new_request(policy));
+    }
     let mut job = job;
     job.body = body::read_body(&job, body, limit).await.map_err(fail)?;
     job.fingerprint_content();
     Ok(job)
 }
 
-async fn serve<D>(mut job: Job<D>) -> Response<AnswerBody>
+/// Sends a request until it has an answer.
+///
+/// # Errors
+///
+/// The refusal for the caller.
+async fn serve<D>(mut job: Job<D>) -> Result<Response<AnswerBody>, Refusal>
 where
     D: Dialect,
 {
     let state = Arc::clone(&job.state);
     let mut failure = None;
-    loop {
+    let refusal = loop {
         let attempt = match job.send(job.ask.resume).await {
             Ok(attempt) => attempt,
             Err(refusal) => {
@@ -257,32 +296,34 @@
                 // which says more than the refusal.
                 if let Some((status, headers, body)) = failure {
                     job.log_answer(status);
-                    return answer::whole(status, headers, body);
+                    return Ok(answer::whole(status, headers, body));
                 }
-                log_refusal(&state, job.kind(), job.request_id(), &refusal, job.received);
-                return answer::refusal(&state.dialect, &refusal);
+                break refusal;
             }
         };
         if job.route.is_streaming() && attempt.response.status() == StatusCode::OK {
-            return relay::start(job, attempt);
+            return Ok(relay::start(job, attempt));
         }
         match job.read_answer(attempt).await {
-            Ok((upstream, status, headers, body)) => {
-                if status.is_server_error() && job.authorize_retry(&upstream).is_ok() {
+            Ok((source, status, headers, body)) => {
+                // A peer has retried on its own as far as that is allowed.
+                if let Source::Upstream(upstream) = source
+                    && status.is_server_error()
+                    && job.authorize_retry(&upstream).is_ok()
+                {
                     failure = Some((status, headers, body));
                     continue;
                 }
                 job.log_answer(status);
-                return answer::whole(status, headers, body);
-            }
-            Err(Some(refusal)) => {
-                log_refusal(&state, job.kind(), job.request_id(), &refusal, job.received);
-                return answer::refusal(&state.dialect, &refusal);
+                return Ok(answer::whole(status, headers, body));
             }
+            Err(Some(refusal)) => break refusal,
             // A retry was authorized.
             Err(None) => {}
         }
-    }
+    };
+    log_refusal(&state, job.kind(), job.request_id(), &refusal, job.received);
+    Err(refusal)
 }
 
 impl<D> Job<D>
@@ -297,10 +338,10 @@
     async fn read_answer(
         &mut self,
         attempt: ActiveAttempt<D>,
-    ) -> Result<(UpstreamId, StatusCode, HeaderMap, Bytes), Option<Refusal>> {
+    ) -> Result<(Source, StatusCode, HeaderMap, Bytes), Option<Refusal>> {
         let ActiveAttempt {
             response,
-            upstream,
+            source,
             address,
             sender,
             resources,
@@ -317,27 +358,30 @@
             Ok(whole) => {
                 // An error of an upstream does not show that the content is sound, and neither does
                 // a stream that did not begin.
-                if !head.status.is_server_error() && !self.route.is_streaming() {
+                let is_upstream = matches!(source, Source::Upstream(_));
+                if !head.status.is_server_error() && !self.route.is_streaming() && is_upstream {
                     self.on_answered();
                 }
                 if head.status.is_server_error() {
-                    self.record_fault(&upstream, address, Fault::Failed, head.status.as_str());
+                    self.on_source_fault(&source, address, Fault::Failed, head.status.as_str());
                 } else {
-                    self.state.fleet().on_success(&upstream, self.state.now());
+                    self.on_source_success(&source);
                 }
                 let keep_alive = answer::keep_alive_timeout(&head.headers);
                 self.state.return_to_pool(address, sender, keep_alive);
                 let mut headers = head.headers;
                 strip_hop_headers(&mut headers);
-                Ok((upstream, head.status, headers, whole))
+                Ok((source, head.status, headers, whole))
             }
             Err(error) => {
-                if !matches!(error, AnswerError::TooLong) {
-                    self.on_broken_off(&upstream, true);
+                if let Source::Upstream(upstream) = &source
+                    && !matches!(error, AnswerError::TooLong)
+                {
+                    self.on_broken_off(upstream, true);
                 }
                 let detail = error.to_string();
-                self.record_fault(&upstream, address, Fault::Broken, &detail);
-                match self.authorize_retry(&upstream) {
+                self.on_source_fault(&source, address, Fault::Broken, &detail);
+                match self.authorize_retry_after(&source) {
                     Ok(()) => Err(None),
                     Err(_reason) => Err(Some(Refusal::AnswerBroken {
                         detail,
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod body;
 mod clock;
 mod confirm;
+mod detour;
 mod dry_run;
 mod front;
 mod handle;
@@ -52,6 +53,7 @@
 use tokio::net::TcpListener;
 use tracing::{info, warn};
 
+use self::front::Origin;
 use self::state::State;
 
 /// A node that serves requests on a platform.
@@ -112,7 +114,7 @@
         watch::start(&self.state, &self.store, &self.schema);
         quarantine::start::<D, S>(&self.state, &self.store, &socket);
         reach::start(&self.state);
-        let serving = tokio::spawn(front::serve(Arc::clone(&self.state), listener));
+        let serving = tokio::spawn(serve_all(Arc::clone(&self.state), listener));
         stop::drain_on_signal(&self.state, serving).await?;
         peers::unregister(&self.state, &self.store, &self.schema).await;
         info!(event = "stop", outcome = "ended");
@@ -120,6 +122,23 @@
     }
 }
 
+/// Serves callers, and the callers of peers that are cut off, until a stop.
+async fn serve_all<D>(state: Arc<State<D>>, listener: TcpListener)
+where
+    D: Dialect,
+{
+    let callers = front::serve(Arc::clone(&state), listener, Origin::Callers);
+    match bind(state.settings.peers).await {
+        Ok(listener) => {
+            tokio::join!(callers, front::serve(state, listener, Origin::Peers));
+        }
+        Err(error) => {
+            warn!(event = "peers", outcome = "not-served", "{error:#}");
+            callers.await;
+        }
+    }
+}
+
 async fn bind(address: std::net::SocketAddr) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/catkinusherd/src/gateway/relay.rs
+++ b/crates/catkinusherd/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use tracing::info;
 
 use super::answer::{self, AnswerBody, EventSender};
-use super::attempt::ActiveAttempt;
+use super::attempt::{ActiveAttempt, Source};
 use super::dialect::Dialect;
 use super::handle::Job;
 use super::memory::Permit;
@@ -82,13 +82,13 @@
     let mut ignore_stalls = false;
     let mut is_whole = false;
     let outcome = loop {
-        let upstream = attempt.upstream.clone();
+        let source = attempt.source.clone();
         let address = attempt.address;
         let keep_alive = answer::keep_alive_timeout(attempt.response.headers());
-        let stall_timeout = if ignore_stalls {
-            job.route.timeout
-        } else {
-            stall_timeout(&job)
+        let stall_timeout = match source {
+            Source::Upstream(_) if !ignore_stalls => stall_timeout(&job),
+            // A peer resumes a stalled stream by itself.
+            _ => job.route.timeout,
         };
         let before = events.count();
         let end = forward_events(
@@ -100,16 +100,18 @@
             stall_timeout,
         )
         .await;
-        if matches!(end, StreamEnd::BrokenOff(_)) && events.count() <= before + 1 {
-            job.on_broken_off(&upstream, true);
+        if let Source::Upstream(upstream) = &source
+            && matches!(end, StreamEnd::BrokenOff(_))
+            && events.count() <= before + 1
+        {
+            job.on_broken_off(upstream, true);
         }
         match end {
             StreamEnd::Whole => {
-                let now = job.state.now();
                 if is_framed(&attempt.response) {
                     job.on_answered();
                 }
-                job.state.fleet().on_success(&upstream, now);
+                job.on_source_success(&source);
                 job.state
                     .return_to_pool(address, attempt.sender, keep_alive);
                 is_whole = true;
@@ -118,8 +120,8 @@
             StreamEnd::ClientLeft => break "caller-left",
             StreamEnd::DeadlinePassed => break "deadline",
             StreamEnd::Stalled => {
-                job.record_fault(&upstream, address, Fault::Silent, "stream stalled");
-                if job.authorize_retry(&upstream).is_err() {
+                job.on_source_fault(&source, address, Fault::Silent, "stream stalled");
+                if job.authorize_retry_after(&source).is_err() {
                     // No other attempt is possible, but this upstream may still continue.
                     ignore_stalls = true;
                     continue;
@@ -141,9 +143,9 @@
             }
             StreamEnd::BrokenOff(detail) | StreamEnd::Malformed(detail) => {
                 drop(attempt);
-                job.record_fault(&upstream, address, Fault::Broken, &detail);
+                job.on_source_fault(&source, address, Fault::Broken, &detail);
                 events.discard_partial();
-                let next = match job.authorize_retry(&upstream) {
+                let next = match job.authorize_retry_after(&source) {
                     Ok(()) => tokio::select! {
                         next = job.send(events.last().or(job.ask.resume)) => next.ok(),
                         () = caller.closed() => break "caller-left",
--- a/crates/catkinusherd/src/gateway/state.rs
+++ b/crates/catkinusherd/src/gateway/state.rs
@@ -24,6 +24,7 @@
 
 use super::bad_entries::BadEntries;
 use super::clock;
+use super::detour::Detours;
 use super::feeds::Feeds;
 use super::memory::Memory;
 use super::metrics::{GaugeValues, Metrics};
@@ -154,6 +155,7 @@
     view: Mutex<StoreView>,
     fleet: Mutex<Fleet>,
     reach: Mutex<Reach>,
+    detours: Mutex<Detours>,
     budgets: Mutex<BTreeMap<ServiceId, Budget>>,
     detector: Mutex<Detector>,
     pub(super) memory: Memory,
@@ -197,6 +199,7 @@
             view: Mutex::default(),
             fleet: Mutex::new(fleet),
             reach: Mutex::default(),
+            detours: Mutex::default(),
             budgets: Mutex::default(),
             detector: Mutex::new(Detector::new(incarnation, poison::Policy::default())),
             metrics: Metrics::default(),
@@ -217,6 +220,10 @@
         lock(&self.reach)
     }
 
+    pub(super) fn detours(&self) -> MutexGuard<'_, Detours> {
+        lock(&self.detours)
+    }
+
     pub(super) fn detector(&self) -> MutexGuard<'_, Detector> {
         lock(&self.detector)
     }
