Do not count faults against upstreams while this node reaches none

Cause: connections that a node's own cut breaks looked like faults and crashes of upstreams, and load reports and reports of broken requests told other nodes of them.

Change: while a node is cut off, faults that its link explains are neither counted nor reported.

--- a/crates/catkinusher-core/src/fleet/health.rs
+++ b/crates/catkinusher-core/src/fleet/health.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Whether a broken link to the upstream would look the same.
+    #[must_use]
+    pub const fn may_be_link(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Silent | Self::Broken)
+    }
+
     /// Whether the fault lies with the upstream itself rather than with the network path to it.
     pub(super) const fn is_own(self) -> bool {
         matches!(self, Self::Broken | Self::Failed | Self::Moved)
--- a/crates/catkinusherd/src/gateway/attempt/judge.rs
+++ b/crates/catkinusherd/src/gateway/attempt/judge.rs
@@ -69,7 +69,10 @@
         detail: &str,
     ) {
         let now = self.state.now();
-        self.state.fleet().on_fault(upstream, fault, now);
+        // Behind a cut of its own a node learns nothing of upstreams that other nodes should hear.
+        if !(self.state.is_cut_off() && fault.may_be_link()) {
+            self.state.fleet().on_fault(upstream, fault, now);
+        }
         self.state.metrics.on_call("upstream", fault.name());
         if !matches!(fault, Fault::Refused | Fault::Absent | Fault::Failed) {
             self.state.pool.evict(address);
--- a/crates/catkinusherd/src/gateway/quarantine.rs
+++ b/crates/catkinusherd/src/gateway/quarantine.rs
@@ -242,7 +242,12 @@
 
     /// Reports that the connection to an upstream broke before the request was answered on it,
     /// as it does when the upstream crashes; `begun` tells whether the response had begun.
+    ///
+    /// While this node reaches no upstream, its own cut breaks connections.
     pub(super) fn on_broken_off(&self, upstream: &UpstreamId, begun: bool) {
+        if self.state.is_cut_off() {
+            return;
+        }
         let now = self.state.now();
         let request = SALT.score("request", self.request_id());
         let short_id = Fleet::short_id(upstream);
