Do not cut off an upstream that is silent for a second or reads a body late

Cause: TCP_USER_TIMEOUT of 0.9 s on connections to upstreams. It also counts the time in which the peer's receive window is closed, and it decides when keep-alive probes give up, whatever their count.

Change: no user timeout. Two unanswered probes, 3 s after the last byte, end a connection; bytes that stay unacknowledged are noticed by the timeouts of the requests.

--- a/crates/catkinusherd/src/gateway/pool.rs
+++ b/crates/catkinusherd/src/gateway/pool.rs
@@ -21,12 +21,12 @@
 /// The timeout for opening a connection; a round trip takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// How long sent bytes may stay unacknowledged: a few retransmissions when packets are lost.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// The time before the first keep-alive probe and between two probes; the shortest that the system supports.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The probes that must stay unanswered; a sound upstream may be silent for longer than a second.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// How long an idle connection is kept at most, and if the upstream states no keep-alive timeout.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -162,13 +162,16 @@
 }
 
 /// Makes the system detect a peer that disappeared without a reset.
+///
+/// A user timeout would also end connections to a peer that leaves the rest of a body unread for a
+/// while, and would decide on probes in place of their count. Bytes that stay unacknowledged are
+/// noticed by the timeouts of the requests.
 pub(super) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(1);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&probes)
 }
