--- a/crates/catkinusherd/src/gateway/attempt/mod.rs
+++ b/crates/catkinusherd/src/gateway/attempt/mod.rs
@@ -17,12 +17,14 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
 use tracing::info;
 
 use crate::forward::plain::headers::strip_hop_headers;
 use crate::gateway::dialect::{Dialect, Dispatch, FailedUpstream, Helper, ResponseClass};
 use crate::gateway::handle::Job;
+use crate::gateway::interim::InterimLimit;
 use crate::gateway::open::Stage;
 use crate::gateway::placing::Placed;
 use crate::gateway::pool::Connection;
@@ -107,6 +109,9 @@
     pub(in crate::gateway) resources: AttemptResources<D>,
 }
 
+/// The head of a response, or why there is none, with the request if it was not sent.
+type SendResult = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
+
 /// Why an attempt ended without an answer.
 enum AttemptError {
     /// Nothing was sent; another upstream can be tried.
@@ -328,16 +333,9 @@
         self.on_evidence(Evidence::Leaving);
         let first = self.sent_to.insert(upstream.clone());
         self.sends += 1;
-        let response_timeout = self.response_timeout();
         self.enter(Stage::Response);
         self.log_send(placement, fresh, left);
-        let sent = tokio::select! {
-            sent = sender.try_send_request(request) => sent,
-            () = self.state.timers.after(response_timeout) => {
-                let detail = format!("silent for {}", Span::new(response_timeout));
-                return Err(if response_timeout >= left { AttemptError::DeadlinePassed } else { AttemptError::Lost(Fault::Silent, detail) });
-            }
-        };
+        let sent = self.exchange(&mut sender, request, left).await?;
         let response = match sent {
             Ok(response) => response,
             Err(mut fault) => {
@@ -393,6 +391,31 @@
         }
     }
 
+    /// Sends a request and waits for the head of its answer, as long as `left` and the route allow.
+    async fn exchange(
+        &self,
+        sender: &mut SendRequest<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
+        left: Duration,
+    ) -> Result<SendResult, AttemptError> {
+        let timeout = self.response_timeout();
+        let interim = InterimLimit::watch(&mut request);
+        tokio::select! {
+            sent = sender.try_send_request(request) => Ok(sent),
+            () = interim.exceeded() => {
+                let detail = "too many interim responses".to_owned();
+                Err(AttemptError::Lost(Fault::Broken, detail))
+            }
+            () = self.state.timers.after(timeout) => {
+                if timeout >= left {
+                    return Err(AttemptError::DeadlinePassed);
+                }
+                let detail = format!("silent for {}", Span::new(timeout));
+                Err(AttemptError::Lost(Fault::Silent, detail))
+            }
+        }
+    }
+
     /// Records what an upstream says of itself in a response.
     fn on_notice(&self, upstream: &UpstreamId, response: &Response<Incoming>) {
         let dialect = &self.state.dialect;
--- a/crates/catkinusherd/src/gateway/mod.rs
+++ b/crates/catkinusherd/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod dry_run;
 mod front;
 mod handle;
+mod interim;
 mod memory;
 mod metrics;
 mod open;
