Bound the answer to a reservation command

What callers would see: a node that runs out of memory and ends with all its requests. A faulty engine that answered a reservation with a body without end was read for 0.4 s, and all of it kept.

Cause: the answer was collected without a bound. All other answers have one; calls of the store and bodies of answers were looked at.

Change: more than 64 KiB fail the command.

Evidence: an_endless_answer_to_a_reservation_is_cut_at_a_bound: before, one command took 355 MB and 363 MB in two runs (24 MB allowed, with what sockets hold); it passes in 3 of 3 runs.

--- a/crates/catkinusherd/src/gateway/reserve.rs
+++ b/crates/catkinusherd/src/gateway/reserve.rs
@@ -13,7 +13,7 @@
 use catkinusher_core::units::Tokens;
 use futures_util::future::join_all;
 use http::StatusCode;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tracing::info;
@@ -31,6 +31,9 @@
 /// The timeout for a reservation command.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The maximum size of the answer to a command, in bytes; it holds a few numbers.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
 /// Memory reserved on one engine; dropping this frees the memory.
 #[derive(Debug)]
 pub(super) struct Reservation {
@@ -151,8 +154,8 @@
             let answer = sender.send_request(request).await;
             let answer = answer.map_err(|error| error.to_string())?;
             let status = answer.status();
-            let body = answer.into_body().collect().await;
-            body.map_err(|error| error.to_string())?;
+            let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+            body.collect().await.map_err(|error| error.to_string())?;
             self.return_to_pool(lease.address, sender, None);
             Ok(status)
         };
