Pass over peers that are gone for longer, and do not wait for a frozen one

A detour to a node that was lost for good, which stays registered, costs a connection timeout; it is passed over for 10 s now. A peer that does not begin to answer a request that may be repeated within three times the time of an upstream counts as lost, and another is asked.

--- a/crates/catkinusherd/src/gateway/attempt/judge.rs
+++ b/crates/catkinusherd/src/gateway/attempt/judge.rs
@@ -45,7 +45,7 @@
     }
 
     /// How long to wait for the head of a response before another upstream is tried.
-    pub(super) fn response_timeout(&self) -> Duration {
+    pub(in crate::gateway) fn response_timeout(&self) -> Duration {
         let left = self.time_left();
         let attempts = self.earlier_attempts + self.sent_to.len() as u32;
         if !self.is_repeatable() || attempts >= self.route.attempts {
--- a/crates/catkinusherd/src/gateway/detour.rs
+++ b/crates/catkinusherd/src/gateway/detour.rs
@@ -14,6 +14,7 @@
 use catkinusher_core::outcome::{Evidence, Outcome, Refusal};
 use catkinusher_core::roster::Peer;
 use catkinusher_core::time::Time;
+use catkinusher_core::units::Span;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -39,6 +40,13 @@
 /// How long a peer is passed over after it could not serve a detour.
 const PASS_OVER: Duration = Duration::from_secs(2);
 
+/// The same after no connection to it could be opened: nodes that were lost for good stay registered.
+const UNREACHABLE_PASS_OVER: Duration = Duration::from_secs(10);
+
+/// How long a peer may take to begin an answer, as a multiple of the time that an upstream has: it
+/// may send the request to a second one.
+const PATIENCE_FACTOR: u32 = 3;
+
 /// The peers of the own data centre that must be unable before others are used: the cut may be that
 /// of the data centre.
 const MIN_UNABLE: usize = 2;
@@ -71,7 +79,9 @@
 
 /// The end of an attempt at one peer without an answer.
 enum PeerError {
-    /// The request has not run.
+    /// No connection could be opened.
+    Unreachable(String),
+    /// The peer cannot serve it; it has not run.
     Unable(String),
     /// The peer failed, and the request may have run.
     Lost(String),
@@ -127,9 +137,12 @@
             };
             match self.send_to_peer(peer, resume).await {
                 Ok(attempt) => return Ok(Some(attempt)),
-                Err(PeerError::Unable(detail)) => {
+                Err(PeerError::Unreachable(detail)) => {
                     self.on_peer_fault(peer, Fault::Unreachable, &detail);
                 }
+                Err(PeerError::Unable(detail)) => {
+                    self.on_peer_fault(peer, Fault::Refused, &detail);
+                }
                 Err(PeerError::DeadlinePassed) => return Err(self.deadline_refusal()),
                 Err(PeerError::Lost(detail)) => {
                     self.earlier_attempts += 1;
@@ -159,16 +172,21 @@
         let fresh = !self.is_repeatable();
         let now = self.state.now();
         let connection = self.state.pool.get(peer, fresh, now).await;
-        let mut connection = connection.map_err(PeerError::Unable)?;
+        let mut connection = connection.map_err(PeerError::Unreachable)?;
         let left = self.time_left();
+        let patience = left.min(self.response_timeout() * PATIENCE_FACTOR);
         let request = self.peer_request(left, resume);
         self.on_evidence(Evidence::Leaving);
         self.enter(Stage::Response);
         info!(event = "detour", request = self.request_id(), %peer, left_ms = left.as_millis() as u64);
         let sent = tokio::select! {
             sent = connection.sender.try_send_request(request) => sent,
-            () = self.state.timers.after(left) => {
-                return Err(PeerError::DeadlinePassed);
+            () = self.state.timers.after(patience) => {
+                return Err(if patience < left {
+                    PeerError::Lost(format!("silent for {}", Span::new(patience)))
+                } else {
+                    PeerError::DeadlinePassed
+                });
             }
         };
         let response = match sent {
@@ -223,8 +241,12 @@
 
     /// Records that a peer could not serve a detour, and passes it over for a while.
     pub(super) fn on_peer_fault(&self, peer: SocketAddr, fault: Fault, detail: &str) {
-        let now = self.state.now();
-        self.state.detours().unable.insert(peer, now + PASS_OVER);
+        let pause = match fault {
+            Fault::Unreachable => UNREACHABLE_PASS_OVER,
+            _ => PASS_OVER,
+        };
+        let until = self.state.now() + pause;
+        self.state.detours().unable.insert(peer, until);
         self.state.metrics.on_call("peer", fault.name());
         self.state.pool.evict(peer);
         info!(
