Let the first reader that can read the store read as the first one does

Cause: readers are ranked, and all but the first wait for three quarters of the interval, as the first confirms them at half of it. That rank counted readers that had said that they cannot read.

Change: the rank counts readers that can.

--- a/crates/catkinusher-core/src/confirm/mod.rs
+++ b/crates/catkinusher-core/src/confirm/mod.rs
@@ -342,11 +342,12 @@
             let patience = self.interval.mul_f64(START_FRACTION);
             return now.since(started_at) >= patience;
         };
-        let fraction = match self
-            .readers(roster, now)
-            .iter()
-            .position(|reader| *reader == roster.own())
-        {
+        let own = roster.own();
+        // Those that cannot read the store confirm nothing, so the next one takes the first place.
+        let readers = self.readers(roster, now).into_iter();
+        let mut able =
+            readers.filter(|reader| *reader == own || !self.is_unfit(*reader, roster, now));
+        let fraction = match able.position(|reader| reader == own) {
             Some(0) => FIRST_READ_FRACTION,
             Some(_) => READ_FRACTION,
             // Other nodes try to read it, and have not reached it either.
--- a/crates/catkinusher-core/tests/confirm.rs
+++ b/crates/catkinusher-core/tests/confirm.rs
@@ -684,3 +684,50 @@
         "by the proof of the peer"
     );
 }
+
+#[test]
+fn the_first_reader_that_can_read_does_not_wait_for_those_that_cannot() {
+    // Four readers were turned away, and the change came into force after 2 s (CONFIG).
+    let ms = Time::from_millis;
+    let mut node = Confirmer::new(Incarnation::new(1), INTERVAL);
+    let (mut roster, mut readers) = (roster(0, 18), Vec::new());
+    let start = ms(10_000);
+    let own = (0..18).find(|own| {
+        roster = Roster::new(member(*own), Time::ZERO);
+        roster.on_list((0..18).map(member).collect(), Time::ZERO);
+        readers = node.readers(&roster, start);
+        readers.last() == Some(&roster.own())
+    });
+    assert!(own.is_some(), "no node is the last reader");
+    let _first_calls = node.poll(&mut roster, start);
+    assert!(node.on_fetch(7));
+    assert!(node.on_read(start, 7, Era::NONE, &roster, start));
+    let half = INTERVAL / 2 + Duration::from_millis(1);
+    let step = node.poll_interval();
+    let mut now = start;
+    let mut read_at = None;
+    while read_at.is_none() && now < start + INTERVAL {
+        now = now + step;
+        for action in node.poll(&mut roster, now) {
+            match action {
+                Action::Ask(peer, serial) if readers.contains(&peer) => {
+                    roster.on_heard(peer, now);
+                    let reply = ConfirmReply {
+                        serial,
+                        age: Some(now.since(start).as_millis() as u64),
+                        failing: true,
+                        known: StorePosition::default(),
+                    };
+                    let _outcome = node.on_reply(&reply, 7, now);
+                }
+                Action::Read => read_at = Some(now),
+                _ => {}
+            }
+        }
+    }
+    let waited = read_at.map(|at| at.since(start));
+    assert!(
+        waited.is_some_and(|waited| waited < half + step),
+        "{waited:?}"
+    );
+}
