Carry over to a peer that an earlier attempt may have run, and do not blame it for upstreams

What callers would see: a refusal that says not-run after an attempt at the first node that may have run; only requests that may be repeated can get there. And a peer that passed on an upstream's error was passed over for 2 s.

Cause: the peer began with an empty history, and a 5xx that a peer passed on counted as its own fault.

Change: Catkinusher-May-Have-Run begins the peer's history; faults are recorded for upstreams only.

--- a/crates/catkinusherd/src/gateway/detour.rs
+++ b/crates/catkinusherd/src/gateway/detour.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use catkinusher_core::fleet::Fault;
-use catkinusher_core::outcome::{Evidence, Outcome, Refusal};
+use catkinusher_core::outcome::{AttemptHistory, Evidence, Outcome, Refusal};
 use catkinusher_core::roster::Peer;
 use catkinusher_core::time::Time;
 use catkinusher_core::units::Span;
@@ -31,6 +31,9 @@
 /// The attempts that a request has used before its detour.
 const ATTEMPTS: HeaderName = HeaderName::from_static("catkinusher-attempts");
 
+/// Set if an earlier attempt may have run.
+const MAY_HAVE_RUN: HeaderName = HeaderName::from_static("catkinusher-may-have-run");
+
 /// Set in a refusal for a reason that concerns the refusing node alone; the request has not run.
 const UNABLE: HeaderName = HeaderName::from_static("catkinusher-unable");
 
@@ -89,11 +92,33 @@
     DeadlinePassed,
 }
 
-/// Takes the attempts that a peer has made from the headers of its request.
-pub(super) fn take_attempts(headers: &mut HeaderMap) -> u32 {
+/// What happened to a request before its detour.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Earlier {
+    /// The attempts that the node of its caller made.
+    pub(super) attempts: u32,
+    may_have_run: bool,
+}
+
+impl Earlier {
+    /// The history with which the attempts of this node begin.
+    pub(super) fn history(self) -> AttemptHistory {
+        let mut history = AttemptHistory::new();
+        if self.may_have_run {
+            history.on_evidence(Evidence::Leaving);
+        }
+        history
+    }
+}
+
+/// Takes what happened before from the headers of a detour.
+pub(super) fn take_earlier(headers: &mut HeaderMap) -> Earlier {
     let value = headers.remove(ATTEMPTS);
-    let count = value.and_then(|value| value.to_str().ok()?.parse().ok());
-    count.unwrap_or_default()
+    let attempts = value.and_then(|value| value.to_str().ok()?.parse().ok());
+    Earlier {
+        attempts: attempts.unwrap_or_default(),
+        may_have_run: headers.remove(MAY_HAVE_RUN).is_some(),
+    }
 }
 
 /// Removes the mark of a refusal from an answer: upstreams must not set it.
@@ -232,6 +257,10 @@
         strip_hop_headers(&mut headers);
         let mut headers = self.state.dialect.peer_headers(&headers, left, resume);
         headers.insert(ATTEMPTS, self.attempts().into());
+        headers.remove(MAY_HAVE_RUN);
+        if self.history.outcome() != Outcome::NotRun {
+            headers.insert(MAY_HAVE_RUN, HeaderValue::from_static("1"));
+        }
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
--- a/crates/catkinusherd/src/gateway/handle.rs
+++ b/crates/catkinusherd/src/gateway/handle.rs
@@ -21,7 +21,7 @@
 use super::answer::{self, AnswerBody};
 use super::attempt::{ActiveAttempt, Source};
 use super::body::{self, AnswerError};
-use super::detour;
+use super::detour::{self, Earlier};
 use super::dialect::{Ask, Dialect};
 use super::front::Origin;
 use super::open::{OpenRequest, Stage};
@@ -235,10 +235,10 @@
         .ok_or_else(|| fail(no_configuration()))?
         .clone();
     let is_detour = origin == Origin::Peers;
-    let earlier_attempts = if is_detour {
-        detour::take_attempts(&mut head.headers)
+    let earlier = if is_detour {
+        detour::take_earlier(&mut head.headers)
     } else {
-        0
+        Earlier::default()
     };
     let time = ask
         .patience
@@ -252,11 +252,11 @@
         deadline: received + time,
         prior_wait: route.timeout.saturating_sub(time),
         patience: time.min(route.patience()),
-        history: AttemptHistory::new(),
+        history: earlier.history(),
         sent_to: BTreeSet::new(),
         sends: 0,
         is_detour,
-        earlier_attempts,
+        earlier_attempts: earlier.attempts,
         avoid: Vec::new(),
         content: Vec::new(),
         trial: None,
@@ -358,14 +358,16 @@
             Ok(whole) => {
                 // An error of an upstream does not show that the content is sound, and neither does
                 // a stream that did not begin.
-                let is_upstream = matches!(source, Source::Upstream(_));
-                if !head.status.is_server_error() && !self.route.is_streaming() && is_upstream {
-                    self.on_answered();
-                }
-                if head.status.is_server_error() {
-                    self.on_source_fault(&source, address, Fault::Failed, head.status.as_str());
-                } else {
-                    self.on_source_success(&source);
+                if let Source::Upstream(upstream) = &source {
+                    if !head.status.is_server_error() && !self.route.is_streaming() {
+                        self.on_answered();
+                    }
+                    if head.status.is_server_error() {
+                        let status = head.status.as_str();
+                        self.record_fault(upstream, address, Fault::Failed, status);
+                    } else {
+                        self.state.fleet().on_success(upstream, self.state.now());
+                    }
                 }
                 let keep_alive = answer::keep_alive_timeout(&head.headers);
                 self.state.return_to_pool(address, sender, keep_alive);
